--- /dev/null
+++ b/packages/cli/main.cc
@@ -0,0 +1,52 @@
+// The command for callers and operators.
+
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <string_view>
+
+#include "command.h"
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+struct Command {
+  std::string_view name;
+  std::string_view summary;
+  int (*run)(int argc, const char** argv);
+};
+
+constexpr std::array<Command, 2> kCommands{{
+    {"submit", "submit a job and print its answer", RunSubmit},
+    {"apply", "put a configuration file in force", RunApply},
+}};
+
+void PrintUsage(std::FILE* stream) {
+  std::fputs("usage: sequoiapath COMMAND [OPTION...]\n\ncommands:\n", stream);
+  for (const Command& command : kCommands) {
+    std::fprintf(stream, "  %-12s %s\n", command.name.data(),
+                 command.summary.data());
+  }
+  std::fputs("\nsequoiapath COMMAND --help lists a command's options.\n",
+             stream);
+}
+
+}  // namespace
+}  // namespace internal
+}  // namespace sequoiapath
+
+int main(int argc, const char** argv) {
+  using sequoiapath::internal::kCommands;
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::string_view name = argc < 2 ? "" : argv[1];
+  if (name == "--help" || name == "-h") {
+    sequoiapath::internal::PrintUsage(stdout);
+    return sequoiapath::kExitOk;
+  }
+  for (const auto& command : kCommands) {
+    if (command.name == name) return command.run(argc - 1, argv + 1);
+  }
+  sequoiapath::internal::PrintUsage(stderr);
+  return sequoiapath::kExitUsage;
+}
--- /dev/null
+++ b/packages/fakes/fake_worker.cc
@@ -0,0 +1,218 @@
+// A stand-in for workers: serves the worker interface on consecutive ports and
+// records every start. A payload is a JSON object with these optional keys:
+// run_ms (run time), fail (answer 500), refuse (answer 503, not started), and
+// any other keys; the result is the payload itself.
+//
+// GET /stats on any port reports counts over all workers of the process.
+
+#include <fmt/format.h>
+#include <popt.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "sequoiapath/transport/event_loop.h"
+#include "sequoiapath/transport/http_server.h"
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kTasksPath = "/v1/tasks/";
+constexpr std::string_view kStatsPath = "/stats";
+constexpr std::string_view kUsagePath = "/v1/usage";
+
+struct RunningTask {
+  TimerId timer = 0;
+  HttpResponder responder;
+};
+
+struct FakeWorker {
+  std::unique_ptr<HttpServer> server;
+  std::unordered_map<std::string, RunningTask> running;
+  std::size_t greatest_running = 0;
+  std::size_t starts = 0;
+};
+
+struct Fleet {
+  EventLoop loop;
+  std::vector<std::unique_ptr<FakeWorker>> workers;
+  std::unordered_map<std::string, int> starts_by_id;
+  std::size_t duplicate_starts = 0;
+  std::size_t slots = 8;
+  std::size_t over_limit_starts = 0;
+  std::FILE* record = nullptr;
+};
+
+HttpResponse TaskResponse(const std::string& id, int status, std::string body) {
+  return {status,
+          {{"content-type", "application/json"}, {"x-task-id", id}},
+          std::move(body)};
+}
+
+void RecordStart(Fleet* fleet, FakeWorker* worker, const std::string& id) {
+  ++worker->starts;
+  if (++fleet->starts_by_id[id] > 1) ++fleet->duplicate_starts;
+  if (worker->running.size() >= fleet->slots) ++fleet->over_limit_starts;
+  if (fleet->record != nullptr) {
+    fmt::print(fleet->record, "{} {}\n", worker->server->endpoint().port, id);
+    std::fflush(fleet->record);
+  }
+}
+
+void EndTask(FakeWorker* worker, const std::string& id, int status,
+             std::string body) {
+  auto node = worker->running.extract(id);
+  if (node.empty()) return;
+  node.mapped().responder.Respond(TaskResponse(id, status, std::move(body)));
+}
+
+std::chrono::milliseconds ReadLease(const HttpRequest& request) {
+  const auto text = FindHeader(request.headers, "x-lease-ms");
+  return std::chrono::milliseconds(
+      text ? std::strtoll(std::string(*text).c_str(), nullptr, 10) : 0);
+}
+
+void StartTask(Fleet* fleet, FakeWorker* worker, const std::string& id,
+               const HttpRequest& request, const HttpResponder& responder) {
+  const Json payload = Json::parse(request.body, nullptr, false);
+  const bool object = payload.is_object();
+  if (object && payload.value("refuse", false)) {
+    HttpResponse response = TaskResponse(id, 503, "{}");
+    response.headers.push_back({"x-not-started", "1"});
+    responder.Respond(response);
+    return;
+  }
+  RecordStart(fleet, worker, id);
+  const bool fails = object && payload.value("fail", false);
+  const std::chrono::milliseconds run_time(object ? payload.value("run_ms", 0)
+                                                  : 0);
+  const auto lease = ReadLease(request);
+  const bool lease_ends_first = run_time > lease;
+  const int status = lease_ends_first ? 504 : (fails ? 500 : 200);
+  const TimerId timer = fleet->loop.Schedule(
+      std::min(run_time, lease), [worker, id, status, body = request.body] {
+        EndTask(worker, id, status, body);
+      });
+  worker->running.insert_or_assign(id, RunningTask{timer, responder});
+  worker->greatest_running =
+      std::max(worker->greatest_running, worker->running.size());
+}
+
+void StopTask(Fleet* fleet, FakeWorker* worker, const std::string& id,
+              const HttpResponder& responder) {
+  const auto it = worker->running.find(id);
+  if (it != worker->running.end()) {
+    fleet->loop.Cancel(it->second.timer);
+    EndTask(worker, id, 500, R"({"stopped":true})");
+  }
+  responder.Respond({200, {}, "{}"});
+}
+
+std::string Stats(const Fleet& fleet) {
+  std::size_t starts = 0;
+  std::size_t greatest = 0;
+  std::size_t running = 0;
+  for (const auto& worker : fleet.workers) {
+    starts += worker->starts;
+    running += worker->running.size();
+    greatest = std::max(greatest, worker->greatest_running);
+  }
+  return Json{{"starts", starts},
+              {"running", running},
+              {"duplicate_starts", fleet.duplicate_starts},
+              {"over_limit_starts", fleet.over_limit_starts},
+              {"greatest_running_per_worker", greatest}}
+      .dump();
+}
+
+void Handle(Fleet* fleet, FakeWorker* worker, const HttpRequest& request,
+            const HttpResponder& responder) {
+  if (request.path == kStatsPath) {
+    responder.Respond({200, {}, Stats(*fleet)});
+  } else if (request.path == kUsagePath) {
+    responder.Respond(
+        {200, {}, Json{{"running", worker->running.size()}}.dump()});
+  } else if (request.path.starts_with(kTasksPath)) {
+    const std::string id = request.path.substr(kTasksPath.size());
+    if (request.method == "POST") {
+      StartTask(fleet, worker, id, request, responder);
+    } else if (request.method == "DELETE") {
+      StopTask(fleet, worker, id, responder);
+    } else {
+      responder.Respond({405, {}, ""});
+    }
+  } else {
+    responder.Respond({404, {}, ""});
+  }
+}
+
+bool StartWorker(Fleet* fleet, std::uint16_t port) {
+  auto owned = std::make_unique<FakeWorker>();
+  FakeWorker* worker = owned.get();
+  auto built = HttpServerBuilder(&fleet->loop)
+                   .Listen({"127.0.0.1", port})
+                   .Handler([fleet, worker](const HttpRequest& request,
+                                            const HttpResponder& responder) {
+                     Handle(fleet, worker, request, responder);
+                   })
+                   .Build();
+  if (const auto* error = std::get_if<ListenError>(&built)) {
+    fmt::print(stderr, "fake_worker: {}\n", error->message);
+    return false;
+  }
+  worker->server = std::get<std::unique_ptr<HttpServer>>(std::move(built));
+  fleet->workers.push_back(std::move(owned));
+  return true;
+}
+
+int Main(int argc, const char** argv) {
+  int first_port = 9000;
+  int count = 1;
+  int slots = 8;
+  char* record_file = nullptr;
+  const poptOption options[] = {
+      {"first-port", 'p', POPT_ARG_INT, &first_port, 0, "first port", "PORT"},
+      {"count", 'n', POPT_ARG_INT, &count, 0, "number of workers", "N"},
+      {"slots", 's', POPT_ARG_INT, &slots, 0,
+       "running tasks beyond this number count as over the limit", "N"},
+      {"record", 'r', POPT_ARG_STRING, &record_file, 0,
+       "file that gets a line for every start", "FILE"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context = poptGetContext("fake_worker", argc, argv, options, 0);
+  const int parsed = poptGetNextOpt(context);
+  poptFreeContext(context);
+  if (parsed < -1) {
+    fmt::print(stderr, "fake_worker: bad option\n");
+    return 2;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  Fleet fleet;
+  fleet.slots = static_cast<std::size_t>(slots);
+  if (record_file != nullptr) fleet.record = std::fopen(record_file, "ae");
+  for (int i = 0; i < count; ++i) {
+    if (!StartWorker(&fleet, static_cast<std::uint16_t>(first_port + i))) {
+      return 1;
+    }
+  }
+  fleet.loop.Run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace internal
+}  // namespace sequoiapath
+
+int main(int argc, const char** argv) {
+  return sequoiapath::internal::Main(argc, argv);
+}
--- /dev/null
+++ b/packages/protocol/include/sequoiapath/protocol/job.h
@@ -0,0 +1,71 @@
+// Defines the caller's messages: a job of parallel tasks and its answer, with
+// their JSON codecs.
+
+#ifndef SEQUOIAPATH_PROTOCOL_JOB_H_
+#define SEQUOIAPATH_PROTOCOL_JOB_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "sequoiapath/protocol/verdict.h"
+
+namespace sequoiapath {
+
+// Queue priorities, most urgent first.
+enum class Priority { kUrgent = 0, kNormal = 1, kBulk = 2 };
+constexpr std::size_t kPriorityCount = 3;
+
+std::string_view ToString(Priority priority);
+std::optional<Priority> ParsePriority(std::string_view text);
+
+// Resources that each task of a job needs on its worker.
+struct Demand {
+  double cores = 0;
+  std::int64_t memory_mb = 0;
+  int accelerators = 0;
+
+  friend bool operator==(const Demand&, const Demand&) = default;
+};
+
+// A submission: `payloads` holds one JSON text per task.
+struct JobRequest {
+  std::string service;
+  std::vector<std::string> payloads;
+  std::optional<std::chrono::milliseconds> deadline;
+  std::optional<Priority> priority;  // The service's own if absent.
+  Demand demand;
+  std::vector<std::string> places;  // Data centres or racks; empty: anywhere.
+};
+
+// The results of all tasks as JSON texts, in the order of the submission.
+struct JobResults {
+  std::vector<std::string> results;
+};
+
+// A complete or failed answer; a failed one carries no results.
+struct JobAnswer {
+  std::string request_id;
+  std::variant<JobResults, Failure> outcome;
+};
+
+// Parses a submission body. Fails with kInvalidRequest and a detail that names
+// the field. Thread-safe.
+Result<JobRequest> DecodeJobRequest(std::string_view body);
+std::string EncodeJobRequest(const JobRequest& request);
+
+std::string EncodeJobAnswer(const JobAnswer& answer);
+
+// Parses an answer body; fails with kInternal if it is not one. Thread-safe.
+Result<JobAnswer> DecodeJobAnswer(std::string_view body);
+
+// Returns the HTTP status that goes with an answer. Thread-safe.
+int HttpStatus(const JobAnswer& answer);
+
+}  // namespace sequoiapath
+
+#endif  // SEQUOIAPATH_PROTOCOL_JOB_H_
--- /dev/null
+++ b/packages/protocol/src/job.cc
@@ -0,0 +1,256 @@
+#include "sequoiapath/protocol/job.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+using Json = nlohmann::json;
+
+// Bounds resource demands so that arithmetic on them cannot overflow.
+constexpr double kMaxCores = 1 << 20;
+constexpr std::int64_t kMaxMemoryMb = std::int64_t{1} << 40;
+constexpr int kMaxAccelerators = 1 << 20;
+constexpr std::int64_t kMaxDeadlineMs = std::int64_t{24} * 3600 * 1000;
+
+Failure Invalid(std::string detail) {
+  return {Verdict::kNotRun, Reason::kInvalidRequest, RetryAdvice::kNever,
+          std::nullopt, std::move(detail)};
+}
+
+Json ParseJson(std::string_view text) {
+  return Json::parse(text, /*cb=*/nullptr, /*allow_exceptions=*/false);
+}
+
+std::optional<std::string> ReadDemand(const Json& json, Demand* demand) {
+  if (!json.is_object()) return "demand: expected an object";
+  for (const auto& [key, value] : json.items()) {
+    if (key == "cores") {
+      if (!value.is_number() || value.get<double>() < 0 ||
+          value.get<double>() > kMaxCores) {
+        return "demand.cores: expected a number from 0 to 1048576";
+      }
+      demand->cores = value.get<double>();
+    } else if (key == "memory_mb") {
+      if (!value.is_number_unsigned() ||
+          value.get<std::uint64_t>() > kMaxMemoryMb) {
+        return "demand.memory_mb: expected a whole number of megabytes";
+      }
+      demand->memory_mb = value.get<std::int64_t>();
+    } else if (key == "accelerators") {
+      if (!value.is_number_unsigned() ||
+          value.get<std::uint64_t>() > kMaxAccelerators) {
+        return "demand.accelerators: expected a whole number";
+      }
+      demand->accelerators = value.get<int>();
+    } else {
+      return fmt::format(
+          "demand.{}: unknown key; allowed are cores, memory_mb and "
+          "accelerators",
+          key);
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> ReadPlaces(const Json& json,
+                                      std::vector<std::string>* places) {
+  constexpr auto kError = "places: expected an array of names";
+  if (!json.is_array()) return kError;
+  for (const Json& place : json) {
+    if (!place.is_string()) return kError;
+    places->push_back(place.get<std::string>());
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> ReadTasks(const Json& json,
+                                     std::vector<std::string>* payloads) {
+  if (!json.is_array() || json.empty()) {
+    return "tasks: expected an array with at least one task";
+  }
+  payloads->reserve(json.size());
+  for (const Json& task : json) payloads->push_back(task.dump());
+  return std::nullopt;
+}
+
+// Reads one top-level field; returns an error text if it is not valid.
+std::optional<std::string> ReadJobField(const std::string& key,
+                                        const Json& value,
+                                        JobRequest* request) {
+  if (key == "service") {
+    if (!value.is_string()) return "service: expected a string";
+    request->service = value.get<std::string>();
+  } else if (key == "tasks") {
+    return ReadTasks(value, &request->payloads);
+  } else if (key == "deadline_ms") {
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() == 0 ||
+        value.get<std::uint64_t>() > kMaxDeadlineMs) {
+      return "deadline_ms: expected a whole number from 1 to 86400000";
+    }
+    request->deadline = std::chrono::milliseconds(value.get<std::int64_t>());
+  } else if (key == "priority") {
+    if (value.is_string()) {
+      request->priority = ParsePriority(value.get<std::string>());
+    }
+    if (!request->priority) {
+      return "priority: expected urgent, normal or bulk";
+    }
+  } else if (key == "demand") {
+    return ReadDemand(value, &request->demand);
+  } else if (key == "places") {
+    return ReadPlaces(value, &request->places);
+  } else {
+    return fmt::format(
+        "{}: unknown key; allowed are service, tasks, deadline_ms, priority, "
+        "demand and places",
+        key);
+  }
+  return std::nullopt;
+}
+
+Json EncodeFailure(const Failure& failure) {
+  Json json{{"outcome", "failed"},
+            {"verdict", ToString(failure.verdict)},
+            {"reason", ToString(failure.reason)},
+            {"retry", ToString(failure.retry)},
+            {"detail", failure.detail}};
+  if (failure.retry_after) {
+    json["retry_after_ms"] = failure.retry_after->count();
+  }
+  return json;
+}
+
+std::optional<Failure> DecodeFailure(const Json& json) {
+  const auto verdict = ParseVerdict(json.value("verdict", ""));
+  const auto reason = ParseReason(json.value("reason", ""));
+  const auto retry = ParseRetryAdvice(json.value("retry", ""));
+  if (!verdict || !reason || !retry) return std::nullopt;
+  Failure failure{*verdict, *reason, *retry, std::nullopt,
+                  json.value("detail", "")};
+  if (json.contains("retry_after_ms")) {
+    failure.retry_after =
+        std::chrono::milliseconds(json["retry_after_ms"].get<std::int64_t>());
+  }
+  return failure;
+}
+
+std::optional<JobAnswer> DecodeAnswer(const Json& json) {
+  JobAnswer answer;
+  answer.request_id = json.value("request_id", "");
+  const std::string outcome = json.value("outcome", "");
+  if (outcome == "complete") {
+    JobResults results;
+    for (const Json& result : json.at("results")) {
+      results.results.push_back(result.dump());
+    }
+    answer.outcome = std::move(results);
+    return answer;
+  }
+  std::optional<Failure> failure = DecodeFailure(json);
+  if (outcome != "failed" || !failure) return std::nullopt;
+  answer.outcome = *std::move(failure);
+  return answer;
+}
+
+}  // namespace
+}  // namespace internal
+
+std::string_view ToString(Priority priority) {
+  switch (priority) {
+    case Priority::kUrgent:
+      return "urgent";
+    case Priority::kNormal:
+      return "normal";
+    case Priority::kBulk:
+      return "bulk";
+  }
+  return "unknown";
+}
+
+std::optional<Priority> ParsePriority(std::string_view text) {
+  if (text == "urgent") return Priority::kUrgent;
+  if (text == "normal") return Priority::kNormal;
+  if (text == "bulk") return Priority::kBulk;
+  return std::nullopt;
+}
+
+Result<JobRequest> DecodeJobRequest(std::string_view body) {
+  const internal::Json json = internal::ParseJson(body);
+  if (json.is_discarded()) return internal::Invalid("body: not valid JSON");
+  if (!json.is_object()) {
+    return internal::Invalid("body: expected a JSON object");
+  }
+  JobRequest request;
+  for (const auto& [key, value] : json.items()) {
+    if (auto error = internal::ReadJobField(key, value, &request)) {
+      return internal::Invalid(*std::move(error));
+    }
+  }
+  if (request.service.empty()) {
+    return internal::Invalid("service: required");
+  }
+  if (request.payloads.empty()) return internal::Invalid("tasks: required");
+  return request;
+}
+
+std::string EncodeJobRequest(const JobRequest& request) {
+  internal::Json json{{"service", request.service}};
+  json["tasks"] = internal::Json::array();
+  for (const std::string& payload : request.payloads) {
+    json["tasks"].push_back(internal::ParseJson(payload));
+  }
+  if (request.deadline) json["deadline_ms"] = request.deadline->count();
+  if (request.priority) json["priority"] = ToString(*request.priority);
+  if (request.demand != Demand{}) {
+    json["demand"] = {{"cores", request.demand.cores},
+                      {"memory_mb", request.demand.memory_mb},
+                      {"accelerators", request.demand.accelerators}};
+  }
+  if (!request.places.empty()) json["places"] = request.places;
+  return json.dump();
+}
+
+std::string EncodeJobAnswer(const JobAnswer& answer) {
+  if (const auto* failure = std::get_if<Failure>(&answer.outcome)) {
+    internal::Json json = internal::EncodeFailure(*failure);
+    json["request_id"] = answer.request_id;
+    return json.dump(-1, ' ', false, internal::Json::error_handler_t::replace);
+  }
+  // Results are JSON texts already; parsing them again would double the cost of
+  // large answers.
+  std::string body = R"({"outcome":"complete","request_id":)" +
+                     internal::Json(answer.request_id).dump() +
+                     R"(,"results":[)";
+  const auto& results = std::get<JobResults>(answer.outcome).results;
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    if (i != 0) body += ',';
+    body += results[i];
+  }
+  return body + "]}";
+}
+
+Result<JobAnswer> DecodeJobAnswer(std::string_view body) {
+  const internal::Json json = internal::ParseJson(body);
+  if (!json.is_discarded() && json.is_object()) {
+    try {
+      if (auto answer = internal::DecodeAnswer(json)) return *std::move(answer);
+    } catch (const internal::Json::exception&) {
+      // Reported below, as for any other malformed answer.
+    }
+  }
+  return Failure{Verdict::kMayHaveRun, Reason::kInternal,
+                 RetryAdvice::kSameSequence, std::nullopt,
+                 "the response is not a job answer"};
+}
+
+int HttpStatus(const JobAnswer& answer) {
+  const auto* failure = std::get_if<Failure>(&answer.outcome);
+  return failure == nullptr ? 200 : HttpStatus(*failure);
+}
+
+}  // namespace sequoiapath
--- /dev/null
+++ b/packages/state/include/sequoiapath/state/daemon.h
@@ -0,0 +1,53 @@
+// Defines Daemon, which builds the parts of one entry VM's process and connects
+// them.
+
+#ifndef SEQUOIAPATH_STATE_DAEMON_H_
+#define SEQUOIAPATH_STATE_DAEMON_H_
+
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "sequoiapath/state/settings.h"
+#include "sequoiapath/transport/event_loop.h"
+
+namespace sequoiapath {
+
+namespace internal {
+struct DaemonState;
+}  // namespace internal
+
+// One entry VM's process. Thread safety: loop thread only.
+class Daemon {
+ public:
+  ~Daemon();
+
+  // Starts a planned stop: new jobs are refused, running ones are answered, and
+  // then the loop stops. A second call answers running jobs at once.
+  void BeginStop();
+
+ private:
+  friend class DaemonBuilder;
+  explicit Daemon(std::unique_ptr<internal::DaemonState> state);
+
+  std::unique_ptr<internal::DaemonState> state;
+};
+
+// Builds a Daemon from checked settings.
+class DaemonBuilder {
+ public:
+  // Precondition: `loop` outlives the daemon.
+  DaemonBuilder(EventLoop* loop, Settings settings);
+
+  // Binds the sockets and starts to read the configuration. Returns an error
+  // message if a socket cannot be bound.
+  std::variant<std::unique_ptr<Daemon>, std::string> Build();
+
+ private:
+  EventLoop* loop;
+  Settings settings;
+};
+
+}  // namespace sequoiapath
+
+#endif  // SEQUOIAPATH_STATE_DAEMON_H_
--- /dev/null
+++ b/packages/state/include/sequoiapath/state/log.h
@@ -0,0 +1,36 @@
+// Defines the structured log: one line per event on standard error.
+
+#ifndef SEQUOIAPATH_STATE_LOG_H_
+#define SEQUOIAPATH_STATE_LOG_H_
+
+#include <fmt/format.h>
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace sequoiapath {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+// One key and its value. Values are quoted when they need it.
+struct LogField {
+  template <typename T>
+  LogField(std::string_view key, const T& value)
+      : key(key), value(fmt::format("{}", value)) {}
+
+  std::string_view key;
+  std::string value;
+};
+
+// Sets the lowest level that is written. Call it before other threads start.
+void SetLogLevel(LogLevel level);
+
+// Writes one line "time level event key=value ..." in a single write, so that
+// lines of several processes do not mix. Thread-safe.
+void Log(LogLevel level, std::string_view event,
+         std::initializer_list<LogField> fields = {});
+
+}  // namespace sequoiapath
+
+#endif  // SEQUOIAPATH_STATE_LOG_H_
--- /dev/null
+++ b/packages/state/include/sequoiapath/state/worker_pool.h
@@ -0,0 +1,50 @@
+// Defines WorkerPool, the connections to the workers that this daemon uses.
+
+#ifndef SEQUOIAPATH_STATE_WORKER_POOL_H_
+#define SEQUOIAPATH_STATE_WORKER_POOL_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "sequoiapath/coordination/catalog.h"
+#include "sequoiapath/protocol/worker_api.h"
+#include "sequoiapath/transport/event_loop.h"
+#include "sequoiapath/transport/http_client.h"
+
+namespace sequoiapath {
+
+// Starts and stops tasks on workers. Thread safety: loop thread only.
+class WorkerPool {
+ public:
+  // Precondition: `loop` outlives the pool.
+  explicit WorkerPool(EventLoop* loop);
+
+  // Takes over new addresses and limits; clients of workers whose address
+  // changed or that were removed are dropped once their requests have ended.
+  void SetCatalog(std::shared_ptr<const Catalog> catalog);
+
+  // Sends a task and calls `callback` exactly once, never before StartTask
+  // returns. After `timeout` the outcome is unknown.
+  void StartTask(const std::string& worker, TaskStart start, Duration timeout,
+                 std::function<void(TaskOutcome)> callback);
+
+  // Asks a worker to stop a task; the reply does not matter.
+  void StopTask(const std::string& worker, const std::string& task_id);
+
+ private:
+  // Returns the client of `worker`, or null if the catalog lacks the worker.
+  HttpClient* ClientOf(const std::string& worker);
+  void DropRetiredClients();
+
+  EventLoop* loop;
+  std::shared_ptr<const Catalog> catalog;
+  std::unordered_map<std::string, std::unique_ptr<HttpClient>> clients;
+  std::vector<std::unique_ptr<HttpClient>> retired;
+};
+
+}  // namespace sequoiapath
+
+#endif  // SEQUOIAPATH_STATE_WORKER_POOL_H_
--- /dev/null
+++ b/packages/state/src/daemon.cc
@@ -0,0 +1,149 @@
+#include "sequoiapath/state/daemon.h"
+
+#include <fmt/format.h>
+
+#include <random>
+#include <utility>
+
+#include "sequoiapath/coordination/catalog.h"
+#include "sequoiapath/state/caller_api.h"
+#include "sequoiapath/state/job_runner.h"
+#include "sequoiapath/state/log.h"
+#include "sequoiapath/state/store_client.h"
+#include "sequoiapath/transport/http_server.h"
+
+namespace sequoiapath {
+namespace internal {
+
+constexpr auto kStoreTimeout = std::chrono::seconds(2);
+constexpr auto kStorePollInterval = std::chrono::seconds(1);
+constexpr auto kStopPollInterval = std::chrono::milliseconds(20);
+constexpr const char* kConfigKey = "/sequoiapath/config";
+
+Incarnation DrawIncarnation() {
+  std::random_device device;
+  const Incarnation drawn = (Incarnation{device()} << 32) | device();
+  return drawn == 0 ? 1 : drawn;
+}
+
+struct DaemonState {
+  DaemonState(EventLoop* loop, Settings settings)
+      : loop(loop),
+        settings(std::move(settings)),
+        incarnation(DrawIncarnation()),
+        runner(loop, fmt::format("{}-{:x}", this->settings.vm, incarnation)),
+        caller_api(loop, &this->settings, incarnation, &runner),
+        store(loop, this->settings.stores, kStoreTimeout) {}
+
+  EventLoop* loop;
+  Settings settings;
+  Incarnation incarnation;
+  JobRunner runner;
+  CallerApi caller_api;
+  StoreClient store;
+  std::unique_ptr<HttpServer> caller_server;
+  std::uint64_t generation = 0;
+  bool stopping = false;
+};
+
+namespace {
+
+void AdoptConfig(DaemonState* daemon, const ConfigRecord& record) {
+  if (record.generation <= daemon->generation) return;
+  DocumentResult parsed = ParseDocumentJson(record.document);
+  auto* document = std::get_if<Document>(&parsed);
+  if (document == nullptr) {
+    Log(LogLevel::kError, "config_invalid",
+        {{"generation", record.generation}});
+    return;
+  }
+  daemon->generation = record.generation;
+  const auto catalog = MakeCatalog(record, std::move(*document));
+  daemon->runner.SetCatalog(catalog);
+  daemon->caller_api.SetCatalog(catalog);
+  Log(LogLevel::kInfo, "config_in_force",
+      {{"generation", record.generation}, {"change_id", record.change_id}});
+}
+
+void OnConfigRead(DaemonState* daemon, const Result<RangeReply>& result) {
+  if (const Failure* failure = GetFailure(result)) {
+    Log(LogLevel::kWarning, "store_unavailable", {{"detail", failure->detail}});
+    return;
+  }
+  const auto& reply = std::get<RangeReply>(result);
+  if (reply.entries.empty()) return;
+  const auto record = DecodeConfigRecord(reply.entries.front().value);
+  if (const Failure* failure = GetFailure(record)) {
+    Log(LogLevel::kError, "config_invalid", {{"detail", failure->detail}});
+    return;
+  }
+  AdoptConfig(daemon, std::get<ConfigRecord>(record));
+}
+
+void PollConfig(DaemonState* daemon) {
+  daemon->store.GetKey(kConfigKey, [daemon](const Result<RangeReply>& result) {
+    OnConfigRead(daemon, result);
+    daemon->loop->Schedule(kStorePollInterval,
+                           [daemon] { PollConfig(daemon); });
+  });
+}
+
+void PollStop(DaemonState* daemon, TimePoint give_up) {
+  const bool drained = daemon->runner.RunningJobs() == 0 &&
+                       daemon->caller_server->PendingRequests() == 0;
+  if (drained || daemon->loop->Now() >= give_up) {
+    Log(LogLevel::kInfo, "stopped", {{"drained", drained}});
+    daemon->loop->RequestStop();
+    return;
+  }
+  daemon->loop->Schedule(kStopPollInterval,
+                         [daemon, give_up] { PollStop(daemon, give_up); });
+}
+
+}  // namespace
+}  // namespace internal
+
+Daemon::Daemon(std::unique_ptr<internal::DaemonState> state)
+    : state(std::move(state)) {}
+
+Daemon::~Daemon() = default;
+
+void Daemon::BeginStop() {
+  internal::DaemonState* daemon = this->state.get();
+  if (daemon->stopping) {
+    daemon->loop->RequestStop();
+    return;
+  }
+  daemon->stopping = true;
+  Log(LogLevel::kInfo, "stopping",
+      {{"running_jobs", daemon->runner.RunningJobs()}});
+  daemon->caller_api.BeginStop();
+  internal::PollStop(daemon,
+                     daemon->loop->Now() + daemon->settings.stop_timeout);
+}
+
+DaemonBuilder::DaemonBuilder(EventLoop* loop, Settings settings)
+    : loop(loop), settings(std::move(settings)) {}
+
+std::variant<std::unique_ptr<Daemon>, std::string> DaemonBuilder::Build() {
+  auto state = std::make_unique<internal::DaemonState>(
+      this->loop, std::move(this->settings));
+  internal::DaemonState* daemon = state.get();
+  auto server = HttpServerBuilder(this->loop)
+                    .Listen(daemon->settings.caller_listen)
+                    .MaxBodySize(daemon->settings.max_request_bytes)
+                    .Handler([daemon](const HttpRequest& request,
+                                      const HttpResponder& responder) {
+                      daemon->caller_api.Handle(request, responder);
+                    })
+                    .Build();
+  if (const auto* error = std::get_if<ListenError>(&server)) {
+    return error->message;
+  }
+  daemon->caller_server =
+      std::get<std::unique_ptr<HttpServer>>(std::move(server));
+  internal::PollConfig(daemon);
+  return std::unique_ptr<Daemon>(new Daemon(std::move(state)));
+}
+
+}  // namespace sequoiapath
--- /dev/null
+++ b/packages/state/src/log.cc
@@ -0,0 +1,74 @@
+#include "sequoiapath/state/log.h"
+
+#include <fmt/chrono.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+std::atomic<LogLevel> minimum_level{LogLevel::kInfo};
+
+std::string_view LevelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "unknown";
+}
+
+std::string Quote(std::string_view value) {
+  const bool plain =
+      !value.empty() && std::all_of(value.begin(), value.end(), [](char c) {
+        return c > ' ' && c != '"' && c != '=' && c != '\\' && c != '\x7f';
+      });
+  if (plain) return std::string(value);
+  std::string quoted = "\"";
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      quoted += '\\';
+      quoted += c;
+    } else if (static_cast<unsigned char>(c) < ' ' || c == '\x7f') {
+      quoted += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+    } else {
+      quoted += c;
+    }
+  }
+  return quoted + '"';
+}
+
+}  // namespace
+}  // namespace internal
+
+void SetLogLevel(LogLevel level) { internal::minimum_level = level; }
+
+void Log(LogLevel level, std::string_view event,
+         std::initializer_list<LogField> fields) {
+  if (level < internal::minimum_level) return;
+  const auto now = std::chrono::floor<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  const auto millis = now.time_since_epoch().count() % 1000;
+  std::string line =
+      fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event={}",
+                  fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+                  millis, internal::LevelName(level), event);
+  for (const LogField& field : fields) {
+    line += fmt::format(" {}={}", field.key, internal::Quote(field.value));
+  }
+  line += '\n';
+  // A log line that cannot be written has nowhere else to go.
+  [[maybe_unused]] const auto written =
+      write(STDERR_FILENO, line.data(), line.size());
+}
+
+}  // namespace sequoiapath
--- /dev/null
+++ b/packages/state/src/settings.cc
@@ -0,0 +1,207 @@
+#include "sequoiapath/state/settings.h"
+
+#include <fmt/format.h>
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <optional>
+#include <utility>
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+// Shorter keys could be guessed by trying.
+constexpr std::size_t kMinSecretLength = 16;
+constexpr std::int64_t kMaxStopTimeoutMs = 600'000;
+constexpr std::int64_t kMaxWaitingTasks = 10'000'000;
+constexpr std::int64_t kMaxRequestBytes = std::int64_t{1} << 30;
+
+// Reads one key; returns an error message if the value is not allowed.
+using Reader = std::function<std::optional<std::string>(const toml::node& node,
+                                                        Settings* settings)>;
+
+struct KeyRule {
+  std::string_view key;
+  bool required;
+  Reader read;
+};
+
+bool IsName(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+  });
+}
+
+Reader ReadName(std::string Settings::*member) {
+  return [member](const toml::node& node,
+                  Settings* settings) -> std::optional<std::string> {
+    const auto text = node.value_exact<std::string>();
+    if (!text || !IsName(*text)) {
+      return "expected a name of lower-case letters, digits and '-'";
+    }
+    settings->*member = *text;
+    return std::nullopt;
+  };
+}
+
+Reader ReadSecret(std::string Settings::*member) {
+  return [member](const toml::node& node,
+                  Settings* settings) -> std::optional<std::string> {
+    const auto text = node.value_exact<std::string>();
+    if (!text || text->size() < kMinSecretLength) {
+      return fmt::format("expected a string of at least {} characters",
+                         kMinSecretLength);
+    }
+    settings->*member = *text;
+    return std::nullopt;
+  };
+}
+
+std::optional<Endpoint> ReadEndpointText(const toml::node& node) {
+  const auto text = node.value_exact<std::string>();
+  return text ? ParseEndpoint(*text) : std::nullopt;
+}
+
+Reader ReadEndpoint(Endpoint Settings::*member) {
+  return [member](const toml::node& node,
+                  Settings* settings) -> std::optional<std::string> {
+    const auto endpoint = ReadEndpointText(node);
+    if (!endpoint) return "expected \"IPv4 address:port\"";
+    settings->*member = *endpoint;
+    return std::nullopt;
+  };
+}
+
+Reader ReadEndpoints(std::vector<Endpoint> Settings::*member) {
+  return [member](const toml::node& node,
+                  Settings* settings) -> std::optional<std::string> {
+    constexpr auto kError = "expected an array of \"IPv4 address:port\"";
+    const toml::array* array = node.as_array();
+    if (array == nullptr) return kError;
+    for (const toml::node& element : *array) {
+      const auto endpoint = ReadEndpointText(element);
+      if (!endpoint) return kError;
+      (settings->*member).push_back(*endpoint);
+    }
+    return std::nullopt;
+  };
+}
+
+// Reads a whole number from `low` to `high` and passes it to `store`.
+Reader ReadNumber(std::int64_t low, std::int64_t high,
+                  std::function<void(Settings*, std::int64_t)> store) {
+  return [low, high, store = std::move(store)](
+             const toml::node& node,
+             Settings* settings) -> std::optional<std::string> {
+    const auto number = node.value_exact<std::int64_t>();
+    if (!number || *number < low || *number > high) {
+      return fmt::format("expected a whole number from {} to {}", low, high);
+    }
+    store(settings, *number);
+    return std::nullopt;
+  };
+}
+
+std::optional<std::string> ReadLogLevel(const toml::node& node,
+                                        Settings* settings) {
+  constexpr std::array<std::pair<std::string_view, LogLevel>, 4> kLevels{{
+      {"debug", LogLevel::kDebug},
+      {"info", LogLevel::kInfo},
+      {"warning", LogLevel::kWarning},
+      {"error", LogLevel::kError},
+  }};
+  const auto text = node.value_exact<std::string>();
+  for (const auto& [name, level] : kLevels) {
+    if (text && *text == name) {
+      settings->log_level = level;
+      return std::nullopt;
+    }
+  }
+  return "expected debug, info, warning or error";
+}
+
+const std::vector<KeyRule>& KeyRules() {
+  static const auto& rules = *new std::vector<KeyRule>{
+      {"data_centre", true, ReadName(&Settings::data_centre)},
+      {"vm", true, ReadName(&Settings::vm)},
+      {"caller_listen", true, ReadEndpoint(&Settings::caller_listen)},
+      {"peer_listen", true, ReadEndpoint(&Settings::peer_listen)},
+      {"operator_listen", true, ReadEndpoint(&Settings::operator_listen)},
+      {"stores", true, ReadEndpoints(&Settings::stores)},
+      {"seeds", false, ReadEndpoints(&Settings::seeds)},
+      {"cluster_key", true, ReadSecret(&Settings::cluster_key)},
+      {"operator_token", true, ReadSecret(&Settings::operator_token)},
+      {"stop_timeout_ms", false,
+       ReadNumber(1, kMaxStopTimeoutMs,
+                  [](Settings* settings, std::int64_t value) {
+                    settings->stop_timeout = std::chrono::milliseconds(value);
+                  })},
+      {"max_waiting_tasks", false,
+       ReadNumber(1, kMaxWaitingTasks,
+                  [](Settings* settings, std::int64_t value) {
+                    settings->max_waiting_tasks =
+                        static_cast<std::size_t>(value);
+                  })},
+      {"max_request_bytes", false,
+       ReadNumber(1, kMaxRequestBytes,
+                  [](Settings* settings, std::int64_t value) {
+                    settings->max_request_bytes =
+                        static_cast<std::size_t>(value);
+                  })},
+      {"log_level", false, ReadLogLevel},
+  };
+  return rules;
+}
+
+int LineOf(const toml::node& node) {
+  return static_cast<int>(node.source().begin.line);
+}
+
+void CheckUnknownKeys(const toml::table& table, SettingsErrors* errors) {
+  const auto& rules = KeyRules();
+  for (const auto& [table_key, node] : table) {
+    const std::string_view key = table_key.str();
+    const bool known =
+        std::any_of(rules.begin(), rules.end(),
+                    [key](const KeyRule& rule) { return rule.key == key; });
+    if (!known) {
+      errors->push_back({LineOf(node), std::string(key), "unknown key"});
+    }
+  }
+}
+
+}  // namespace
+}  // namespace internal
+
+std::variant<Settings, SettingsErrors> ParseSettings(std::string_view text) {
+  const toml::parse_result parsed = toml::parse(text);
+  if (!parsed) {
+    const auto line = static_cast<int>(parsed.error().source().begin.line);
+    return SettingsErrors{
+        {line, "", std::string(parsed.error().description())}};
+  }
+  const toml::table& table = parsed.table();
+  Settings settings;
+  SettingsErrors errors;
+  for (const internal::KeyRule& rule : internal::KeyRules()) {
+    const toml::node* node = table.get(rule.key);
+    if (node == nullptr) {
+      if (rule.required) {
+        errors.push_back({0, std::string(rule.key), "required key is missing"});
+      }
+      continue;
+    }
+    if (auto message = rule.read(*node, &settings)) {
+      errors.push_back({internal::LineOf(*node), std::string(rule.key),
+                        *std::move(message)});
+    }
+  }
+  internal::CheckUnknownKeys(table, &errors);
+  if (!errors.empty()) return errors;
+  return settings;
+}
+
+}  // namespace sequoiapath
--- /dev/null
+++ b/packages/state/src/store_client.cc
@@ -0,0 +1,98 @@
+#include "sequoiapath/state/store_client.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+constexpr int kStatusOk = 200;
+
+Failure StoreFailure(Verdict verdict, std::string detail) {
+  return {verdict, Reason::kStoreUnavailable, RetryAdvice::kSameSequence,
+          std::nullopt, std::move(detail)};
+}
+
+Result<std::string> ToBody(HttpResult result) {
+  if (const auto* error = std::get_if<HttpError>(&result)) {
+    return StoreFailure(
+        error->may_have_been_sent ? Verdict::kMayHaveRun : Verdict::kNotRun,
+        fmt::format("{}: {}", ToString(error->kind), error->message));
+  }
+  auto& response = std::get<HttpResponse>(result);
+  if (response.status != kStatusOk) {
+    return StoreFailure(
+        Verdict::kMayHaveRun,
+        fmt::format("the store answered with status {}", response.status));
+  }
+  return std::move(response.body);
+}
+
+}  // namespace
+}  // namespace internal
+
+StoreClient::StoreClient(EventLoop* loop,
+                         const std::vector<Endpoint>& endpoints,
+                         Duration timeout)
+    : timeout(timeout) {
+  for (const Endpoint& endpoint : endpoints) {
+    this->clients.push_back(HttpClientBuilder(loop, endpoint).Build());
+  }
+}
+
+void StoreClient::GetKey(const std::string& key,
+                         std::function<void(Result<RangeReply>)> callback) {
+  this->Range(EncodeRangeKey(key), std::move(callback));
+}
+
+void StoreClient::GetPrefix(const std::string& prefix,
+                            std::function<void(Result<RangeReply>)> callback) {
+  this->Range(EncodeRangePrefix(prefix), std::move(callback));
+}
+
+void StoreClient::Range(std::string body,
+                        std::function<void(Result<RangeReply>)> callback) {
+  this->Post(kStoreRangePath, std::move(body),
+             [callback = std::move(callback)](Result<std::string> result) {
+               if (const Failure* failure = GetFailure(result)) {
+                 callback(*failure);
+                 return;
+               }
+               callback(DecodeRangeReply(std::get<std::string>(result)));
+             });
+}
+
+void StoreClient::Commit(const StoreTxn& txn,
+                         std::function<void(Result<TxnReply>)> callback) {
+  this->Post(kStoreTxnPath, EncodeTxn(txn),
+             [callback = std::move(callback)](Result<std::string> result) {
+               if (const Failure* failure = GetFailure(result)) {
+                 callback(*failure);
+                 return;
+               }
+               callback(DecodeTxnReply(std::get<std::string>(result)));
+             });
+}
+
+void StoreClient::Post(std::string_view path, std::string body,
+                       BodyCallback callback) {
+  HttpRequest request;
+  request.method = "POST";
+  request.path = std::string(path);
+  request.headers = {{"content-type", "application/json"}};
+  request.body = std::move(body);
+  const std::size_t used = this->current;
+  this->clients[used]->Send(
+      std::move(request), this->timeout,
+      [this, used, callback = std::move(callback)](HttpResult result) {
+        Result<std::string> reply = internal::ToBody(std::move(result));
+        if (GetFailure(reply) != nullptr && this->current == used) {
+          this->current = (used + 1) % this->clients.size();
+        }
+        callback(std::move(reply));
+      });
+}
+
+}  // namespace sequoiapath
--- /dev/null
+++ b/packages/transport/include/sequoiapath/transport/event_loop.h
@@ -0,0 +1,69 @@
+// Defines EventLoop, the single-threaded loop that drives all I/O and timers.
+
+#ifndef SEQUOIAPATH_TRANSPORT_EVENT_LOOP_H_
+#define SEQUOIAPATH_TRANSPORT_EVENT_LOOP_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+struct st_h2o_evloop_t;
+
+namespace sequoiapath {
+
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+using Duration = Clock::duration;
+
+// Identifies a scheduled timer; zero names no timer.
+using TimerId = std::uint64_t;
+
+// Wraps h2o's event loop and adds timers of arbitrary length.
+// Thread safety: every method must be called on the thread that runs the loop,
+// except RequestStop, which is async-signal-safe.
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  // Returns the current time. Reads the clock on every call, so that a process
+  // that was paused sees the real time before it acts.
+  TimePoint Now() const;
+
+  // Runs `callback` once, no earlier than `delay` from now.
+  // Precondition: `callback` is callable. Timers have millisecond resolution.
+  TimerId Schedule(Duration delay, std::function<void()> callback);
+
+  // Cancels a timer. Has no effect if it already ran or `id` is zero.
+  void Cancel(TimerId id);
+
+  // Runs until RequestStop is called.
+  void Run();
+
+  // Runs one turn that waits at most `max_wait` for events.
+  void RunOnce(Duration max_wait);
+
+  // Makes Run return after the current turn. Async-signal-safe.
+  void RequestStop();
+
+  // Returns the h2o loop for the use of other transport modules.
+  st_h2o_evloop_t* native() const { return this->loop; }
+
+ private:
+  void RunDueTimers();
+
+  st_h2o_evloop_t* loop;
+  std::map<std::pair<TimePoint, TimerId>, std::function<void()>> timers;
+  std::unordered_map<TimerId, TimePoint> timer_due;
+  TimerId next_timer = 1;
+  volatile bool stop_requested = false;
+};
+
+}  // namespace sequoiapath
+
+#endif  // SEQUOIAPATH_TRANSPORT_EVENT_LOOP_H_
--- /dev/null
+++ b/packages/transport/include/sequoiapath/transport/http_client.h
@@ -0,0 +1,115 @@
+// Defines HttpClient, an HTTP/1.1 client with a bounded set of connections to
+// one endpoint. It reports whether a failed request may have reached the
+// server.
+
+#ifndef SEQUOIAPATH_TRANSPORT_HTTP_CLIENT_H_
+#define SEQUOIAPATH_TRANSPORT_HTTP_CLIENT_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "sequoiapath/transport/endpoint.h"
+#include "sequoiapath/transport/event_loop.h"
+#include "sequoiapath/transport/http_message.h"
+
+namespace sequoiapath {
+
+namespace internal {
+struct HttpClientState;
+}  // namespace internal
+
+enum class HttpErrorKind {
+  kConnectFailed,  // No connection was established; nothing was sent.
+  kNoConnection,   // All connections are busy; nothing was sent.
+  kTimeout,        // No whole response within the timeout.
+  kClosed,         // The connection ended or broke before the response did.
+  kCancelled,      // The caller cancelled the request.
+};
+
+// Returns a short name for logs. Thread-safe.
+const char* ToString(HttpErrorKind kind);
+
+struct HttpError {
+  HttpErrorKind kind = HttpErrorKind::kClosed;
+  // False only if surely no byte of the request was written.
+  bool may_have_been_sent = true;
+  std::string message;
+};
+
+using HttpResult = std::variant<HttpResponse, HttpError>;
+using HttpCallback = std::function<void(HttpResult result)>;
+
+// Identifies a request in progress; zero names none.
+using HttpRequestId = std::uint64_t;
+
+// Sends requests to one endpoint. Each connection carries one request at a
+// time, so responses cannot be mixed up. The most recently used idle connection
+// is taken first, because it is the least likely to have gone silent. Thread
+// safety: loop thread only.
+class HttpClient {
+ public:
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // Sends `request` and calls `callback` exactly once, never before Send
+  // returns. After `timeout` the connection is closed, so a late response
+  // reaches nobody.
+  HttpRequestId Send(HttpRequest request, Duration timeout,
+                     HttpCallback callback);
+
+  // Ends a request early; its callback gets kCancelled and its connection is
+  // closed. Has no effect on a finished request.
+  void Cancel(HttpRequestId id);
+
+  // Closes all idle connections.
+  void CloseIdleConnections();
+
+  // Returns the number of connections in use by a request.
+  std::size_t BusyConnections() const;
+
+  // Returns the number of idle connections that are kept for reuse.
+  std::size_t IdleConnections() const;
+
+  const Endpoint& endpoint() const;
+
+ private:
+  friend class HttpClientBuilder;
+  explicit HttpClient(std::unique_ptr<internal::HttpClientState> state);
+
+  std::unique_ptr<internal::HttpClientState> state;
+};
+
+// Builds an HttpClient.
+class HttpClientBuilder {
+ public:
+  // Preconditions: `loop` outlives the client; the address is numeric.
+  HttpClientBuilder(EventLoop* loop, Endpoint endpoint);
+
+  // Sets the largest number of connections, busy and idle together.
+  HttpClientBuilder& MaxConnections(std::size_t count);
+
+  // Sets how long an unused connection is kept.
+  HttpClientBuilder& IdleTimeout(Duration timeout);
+
+  // Sets how long a connection attempt may take.
+  HttpClientBuilder& ConnectTimeout(Duration timeout);
+
+  std::unique_ptr<HttpClient> Build();
+
+ private:
+  EventLoop* loop;
+  Endpoint remote;
+  std::size_t max_connections = 64;
+  Duration idle_timeout = std::chrono::seconds(5);
+  Duration connect_timeout = std::chrono::seconds(1);
+};
+
+}  // namespace sequoiapath
+
+#endif  // SEQUOIAPATH_TRANSPORT_HTTP_CLIENT_H_
--- /dev/null
+++ b/packages/transport/src/event_loop.cc
@@ -0,0 +1,69 @@
+#include "sequoiapath/transport/event_loop.h"
+
+#include <h2o.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+// Bounds the wait so that a stop request from a signal handler is seen soon.
+constexpr auto kMaxWait = std::chrono::milliseconds(100);
+
+}  // namespace
+}  // namespace internal
+
+EventLoop::EventLoop() : loop(h2o_evloop_create()) {}
+
+EventLoop::~EventLoop() {
+  // h2o 2.2 offers no complete destruction of an epoll loop that still has
+  // sockets; the process ends soon after its loop does.
+}
+
+TimePoint EventLoop::Now() const { return Clock::now(); }
+
+TimerId EventLoop::Schedule(Duration delay, std::function<void()> callback) {
+  const TimerId id = this->next_timer++;
+  const TimePoint due = this->Now() + std::max(delay, Duration::zero());
+  this->timers.emplace(std::make_pair(due, id), std::move(callback));
+  this->timer_due.emplace(id, due);
+  return id;
+}
+
+void EventLoop::Cancel(TimerId id) {
+  auto it = this->timer_due.find(id);
+  if (it == this->timer_due.end()) return;
+  this->timers.erase({it->second, id});
+  this->timer_due.erase(it);
+}
+
+void EventLoop::Run() {
+  while (!this->stop_requested) this->RunOnce(internal::kMaxWait);
+}
+
+void EventLoop::RunOnce(Duration max_wait) {
+  Duration wait = max_wait;
+  if (!this->timers.empty()) {
+    const Duration until_due = this->timers.begin()->first.first - this->Now();
+    wait = std::clamp(until_due, Duration::zero(), max_wait);
+  }
+  // Rounds up: a shorter wait would spin until the timer is due.
+  const auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(wait);
+  h2o_evloop_run(this->loop, static_cast<std::int32_t>(wait_ms.count()));
+  this->RunDueTimers();
+}
+
+void EventLoop::RunDueTimers() {
+  const TimePoint now = this->Now();
+  while (!this->timers.empty() && this->timers.begin()->first.first <= now) {
+    auto node = this->timers.extract(this->timers.begin());
+    this->timer_due.erase(node.key().second);
+    node.mapped()();
+  }
+}
+
+void EventLoop::RequestStop() { this->stop_requested = true; }
+
+}  // namespace sequoiapath
--- /dev/null
+++ b/packages/transport/src/http_client.cc
@@ -0,0 +1,400 @@
+#include "sequoiapath/transport/http_client.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <h2o.h>
+#include <h2o/http1client.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <limits>
+#include <list>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace sequoiapath {
+namespace internal {
+
+// Detects a dead path on connections whose request is in flight.
+constexpr auto kTcpUserTimeout = std::chrono::seconds(10);
+constexpr int kKeepAliveIdleSeconds = 5;
+constexpr int kKeepAliveIntervalSeconds = 2;
+constexpr int kKeepAliveProbes = 3;
+// h2o's own timeout only backs up the timer of each request.
+constexpr auto kIoTimeout = std::chrono::hours(1);
+
+struct Call;
+
+// One connection. An h2o pool hands out its oldest idle connection, so each
+// connection has a pool of its own and the choice is made here.
+struct Connection {
+  h2o_socketpool_t pool{};
+  TimePoint idle_since;
+  // True once the pool may hold an open socket.
+  bool established = false;
+};
+
+using ConnectionList = std::list<std::unique_ptr<Connection>>;
+
+struct HttpClientState {
+  EventLoop* loop = nullptr;
+  Endpoint endpoint;
+  sockaddr_in address{};
+  std::size_t max_connections = 0;
+  Duration idle_timeout{};
+  Duration connect_timeout{};
+  h2o_http1client_ctx_t context{};
+  h2o_timeout_t io_timeout{};
+  ConnectionList idle;  // Most recently used first.
+  std::size_t busy = 0;
+  std::unordered_map<HttpRequestId, std::unique_ptr<Call>> calls;
+  HttpRequestId next_id = 1;
+  TimerId sweep_timer = 0;
+};
+
+// A request in progress.
+struct Call {
+  HttpClientState* client = nullptr;
+  HttpRequestId id = 0;
+  std::unique_ptr<Connection> connection;
+  std::string head;
+  std::string body;
+  h2o_iovec_t buffers[2]{};
+  bool is_head_request = false;
+  h2o_http1client_t* h2o_client = nullptr;
+  TimerId timeout_timer = 0;
+  TimerId connect_timer = 0;
+  bool sent = false;
+  HttpResponse response;
+  HttpCallback callback;
+};
+
+namespace {
+
+// Gives the pool what h2o_socketpool_set_timeout would, but without its timer:
+// one timer for each connection would cost more than SweepIdle.
+void InitPool(HttpClientState* client, h2o_socketpool_t* pool) {
+  h2o_socketpool_init_by_address(
+      pool, reinterpret_cast<sockaddr*>(&client->address),
+      sizeof(client->address), /*is_ssl=*/0, /*capacity=*/1);
+  pool->timeout = static_cast<std::uint64_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(client->idle_timeout)
+          .count());
+  pool->_interval_cb.loop = client->loop->native();
+}
+
+void CloseConnection(std::unique_ptr<Connection> connection) {
+  // h2o would otherwise dispose of the timer that InitPool did not create.
+  connection->pool._interval_cb.loop = nullptr;
+  h2o_socketpool_dispose(&connection->pool);
+}
+
+std::unique_ptr<Connection> NewConnection(HttpClientState* client) {
+  auto connection = std::make_unique<Connection>();
+  InitPool(client, &connection->pool);
+  return connection;
+}
+
+// Takes the most recently used idle connection or a new one; null at the limit.
+std::unique_ptr<Connection> TakeConnection(HttpClientState* client) {
+  std::unique_ptr<Connection> connection;
+  if (!client->idle.empty()) {
+    connection = std::move(client->idle.front());
+    client->idle.pop_front();
+  } else if (client->busy < client->max_connections) {
+    connection = NewConnection(client);
+  } else {
+    return nullptr;
+  }
+  ++client->busy;
+  return connection;
+}
+
+// Closes connections that were idle for too long and re-arms the timer.
+void SweepIdle(HttpClientState* client) {
+  client->sweep_timer = 0;
+  const TimePoint now = client->loop->Now();
+  while (!client->idle.empty() &&
+         now - client->idle.back()->idle_since >= client->idle_timeout) {
+    CloseConnection(std::move(client->idle.back()));
+    client->idle.pop_back();
+  }
+  if (client->idle.empty()) return;
+  const Duration age = now - client->idle.back()->idle_since;
+  client->sweep_timer = client->loop->Schedule(client->idle_timeout - age,
+                                               [client] { SweepIdle(client); });
+}
+
+void KeepIdle(HttpClientState* client, std::unique_ptr<Connection> connection) {
+  connection->idle_since = client->loop->Now();
+  connection->established = true;
+  client->idle.push_front(std::move(connection));
+  if (client->sweep_timer == 0) {
+    client->sweep_timer = client->loop->Schedule(
+        client->idle_timeout, [client] { SweepIdle(client); });
+  }
+}
+
+// Removes the call and reports its result. `reusable` says whether h2o returned
+// the socket to the pool.
+void Finish(Call* call, HttpResult result, bool reusable) {
+  HttpClientState* client = call->client;
+  auto node = client->calls.extract(call->id);
+  const std::unique_ptr<Call> owned = std::move(node.mapped());
+  client->loop->Cancel(owned->timeout_timer);
+  client->loop->Cancel(owned->connect_timer);
+  --client->busy;
+  if (reusable) {
+    KeepIdle(client, std::move(owned->connection));
+  } else {
+    // Disposal is deferred because h2o still uses the pool in this callback.
+    auto connection = std::make_shared<std::unique_ptr<Connection>>(
+        std::move(owned->connection));
+    client->loop->Schedule(Duration::zero(), [connection] {
+      CloseConnection(std::move(*connection));
+    });
+  }
+  owned->callback(std::move(result));
+}
+
+void Fail(Call* call, HttpErrorKind kind, std::string message) {
+  Finish(call, HttpError{kind, call->sent, std::move(message)},
+         /*reusable=*/false);
+}
+
+// Aborts the exchange inside h2o, which closes the socket, and reports `kind`.
+void Abort(Call* call, HttpErrorKind kind, std::string message) {
+  if (call->h2o_client != nullptr) h2o_http1client_cancel(call->h2o_client);
+  Fail(call, kind, std::move(message));
+}
+
+void Complete(Call* call) {
+  HttpResponse response = std::move(call->response);
+  const auto connection = FindHeader(response.headers, "connection");
+  const bool keep = !connection.has_value() || *connection != "close";
+  Finish(call, std::move(response), keep);
+}
+
+int OnBody(h2o_http1client_t* h2o_client, const char* error) {
+  auto* call = static_cast<Call*>(h2o_client->data);
+  if (error != nullptr && error != h2o_http1client_error_is_eos) {
+    call->h2o_client = nullptr;
+    Fail(call, HttpErrorKind::kClosed, error);
+    return -1;
+  }
+  h2o_buffer_t** input = &h2o_client->sock->input;
+  call->response.body.append((*input)->bytes, (*input)->size);
+  h2o_buffer_consume(input, (*input)->size);
+  if (error == h2o_http1client_error_is_eos) {
+    call->h2o_client = nullptr;
+    Complete(call);
+  }
+  return 0;
+}
+
+h2o_http1client_body_cb OnHead(h2o_http1client_t* h2o_client, const char* error,
+                               int /*minor_version*/, int status,
+                               h2o_iovec_t /*message*/, h2o_header_t* headers,
+                               std::size_t header_count, int /*rlen*/) {
+  auto* call = static_cast<Call*>(h2o_client->data);
+  if (error != nullptr && error != h2o_http1client_error_is_eos) {
+    call->h2o_client = nullptr;
+    Fail(call, HttpErrorKind::kClosed, error);
+    return nullptr;
+  }
+  call->response.status = status;
+  for (std::size_t i = 0; i < header_count; ++i) {
+    call->response.headers.push_back(
+        {std::string(headers[i].name->base, headers[i].name->len),
+         std::string(headers[i].value.base, headers[i].value.len)});
+  }
+  if (error == h2o_http1client_error_is_eos) {
+    call->h2o_client = nullptr;
+    Complete(call);
+    return nullptr;
+  }
+  return OnBody;
+}
+
+void ConfigureSocket(int fd) {
+  const int on = 1;
+  const int user_timeout_ms =
+      static_cast<int>(std::chrono::milliseconds(kTcpUserTimeout).count());
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds,
+             sizeof(kKeepAliveIdleSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalSeconds,
+             sizeof(kKeepAliveIntervalSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes,
+             sizeof(kKeepAliveProbes));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+             sizeof(user_timeout_ms));
+}
+
+h2o_http1client_head_cb OnConnect(h2o_http1client_t* h2o_client,
+                                  const char* error, h2o_iovec_t** buffers,
+                                  std::size_t* buffer_count,
+                                  int* method_is_head) {
+  auto* call = static_cast<Call*>(h2o_client->data);
+  if (error != nullptr) {
+    call->h2o_client = nullptr;
+    Fail(call, HttpErrorKind::kConnectFailed, error);
+    return nullptr;
+  }
+  call->client->loop->Cancel(call->connect_timer);
+  ConfigureSocket(h2o_socket_get_fd(h2o_client->sock));
+  call->buffers[0] = h2o_iovec_init(call->head.data(), call->head.size());
+  call->buffers[1] = h2o_iovec_init(call->body.data(), call->body.size());
+  *buffers = call->buffers;
+  *buffer_count = call->body.empty() ? 1 : 2;
+  *method_is_head = call->is_head_request ? 1 : 0;
+  // h2o writes as soon as this function returns.
+  call->sent = true;
+  return OnHead;
+}
+
+std::string FormatHead(const HttpRequest& request, const Endpoint& endpoint) {
+  std::string head = fmt::format(
+      "{} {} HTTP/1.1\r\nhost: {}\r\ncontent-length: {}\r\n", request.method,
+      request.path, ToString(endpoint), request.body.size());
+  for (const HttpHeader& header : request.headers) {
+    head += fmt::format("{}: {}\r\n", header.name, header.value);
+  }
+  return head + "\r\n";
+}
+
+void StartCall(Call* call) {
+  h2o_http1client_connect_with_pool(&call->h2o_client, call,
+                                    &call->client->context,
+                                    &call->connection->pool, OnConnect);
+}
+
+}  // namespace
+}  // namespace internal
+
+using internal::Call;
+using internal::Connection;
+
+const char* ToString(HttpErrorKind kind) {
+  switch (kind) {
+    case HttpErrorKind::kConnectFailed:
+      return "connect_failed";
+    case HttpErrorKind::kNoConnection:
+      return "no_connection";
+    case HttpErrorKind::kTimeout:
+      return "timeout";
+    case HttpErrorKind::kClosed:
+      return "closed";
+    case HttpErrorKind::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+HttpClient::HttpClient(std::unique_ptr<internal::HttpClientState> state)
+    : state(std::move(state)) {}
+
+HttpClient::~HttpClient() {
+  while (!this->state->calls.empty()) {
+    this->Cancel(this->state->calls.begin()->first);
+  }
+  this->CloseIdleConnections();
+  this->state->loop->Cancel(this->state->sweep_timer);
+}
+
+HttpRequestId HttpClient::Send(HttpRequest request, Duration timeout,
+                               HttpCallback callback) {
+  internal::HttpClientState* client = this->state.get();
+  std::unique_ptr<Connection> connection = internal::TakeConnection(client);
+  if (connection == nullptr) {
+    client->loop->Schedule(Duration::zero(), [callback = std::move(callback)] {
+      callback(HttpError{HttpErrorKind::kNoConnection, false,
+                         "all connections are busy"});
+    });
+    return 0;
+  }
+  auto owned = std::make_unique<Call>();
+  Call* call = owned.get();
+  call->client = client;
+  call->id = client->next_id++;
+  call->connection = std::move(connection);
+  call->is_head_request = request.method == "HEAD";
+  call->head = internal::FormatHead(request, client->endpoint);
+  call->body = std::move(request.body);
+  call->callback = std::move(callback);
+  call->timeout_timer = client->loop->Schedule(timeout, [call] {
+    internal::Abort(call, HttpErrorKind::kTimeout, "no response in time");
+  });
+  call->connect_timer = client->loop->Schedule(client->connect_timeout, [call] {
+    internal::Abort(call, HttpErrorKind::kConnectFailed,
+                    "connection attempt timed out");
+  });
+  const HttpRequestId id = call->id;
+  client->calls.emplace(id, std::move(owned));
+  internal::StartCall(call);
+  return id;
+}
+
+void HttpClient::Cancel(HttpRequestId id) {
+  auto it = this->state->calls.find(id);
+  if (it == this->state->calls.end()) return;
+  internal::Abort(it->second.get(), HttpErrorKind::kCancelled,
+                  "cancelled by the caller");
+}
+
+void HttpClient::CloseIdleConnections() {
+  while (!this->state->idle.empty()) {
+    internal::CloseConnection(std::move(this->state->idle.front()));
+    this->state->idle.pop_front();
+  }
+}
+
+std::size_t HttpClient::BusyConnections() const { return this->state->busy; }
+
+std::size_t HttpClient::IdleConnections() const {
+  return this->state->idle.size();
+}
+
+const Endpoint& HttpClient::endpoint() const { return this->state->endpoint; }
+
+HttpClientBuilder::HttpClientBuilder(EventLoop* loop, Endpoint endpoint)
+    : loop(loop), remote(std::move(endpoint)) {}
+
+HttpClientBuilder& HttpClientBuilder::MaxConnections(std::size_t count) {
+  this->max_connections = count;
+  return *this;
+}
+
+HttpClientBuilder& HttpClientBuilder::IdleTimeout(Duration timeout) {
+  this->idle_timeout = timeout;
+  return *this;
+}
+
+HttpClientBuilder& HttpClientBuilder::ConnectTimeout(Duration timeout) {
+  this->connect_timeout = timeout;
+  return *this;
+}
+
+std::unique_ptr<HttpClient> HttpClientBuilder::Build() {
+  auto state = std::make_unique<internal::HttpClientState>();
+  state->loop = this->loop;
+  state->endpoint = this->remote;
+  state->address.sin_family = AF_INET;
+  state->address.sin_port = htons(this->remote.port);
+  inet_pton(AF_INET, this->remote.address.c_str(), &state->address.sin_addr);
+  state->max_connections = this->max_connections;
+  state->idle_timeout = this->idle_timeout;
+  state->connect_timeout = this->connect_timeout;
+  state->context.loop = this->loop->native();
+  h2o_timeout_init(
+      this->loop->native(), &state->io_timeout,
+      static_cast<std::uint64_t>(
+          std::chrono::milliseconds(internal::kIoTimeout).count()));
+  state->context.io_timeout = &state->io_timeout;
+  return std::unique_ptr<HttpClient>(new HttpClient(std::move(state)));
+}
+
+}  // namespace sequoiapath
--- /dev/null
+++ b/packages/transport/src/http_server.cc
@@ -0,0 +1,274 @@
+#include "sequoiapath/transport/http_server.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <h2o.h>
+#include <h2o/http1.h>
+#include <h2o/http2.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace sequoiapath {
+namespace internal {
+
+constexpr int kListenBacklog = 1024;
+
+struct HttpServerState;
+
+// One unanswered request. `request` becomes null once it was answered or its
+// connection has gone.
+struct PendingExchange {
+  h2o_req_t* request = nullptr;
+  HttpServerState* server = nullptr;
+  std::function<void()> on_abort;
+};
+
+// The handler that h2o allocates; h2o requires the base struct first.
+struct ServerHandler {
+  h2o_handler_t base;
+  HttpServerState* server;
+};
+
+struct HttpServerState {
+  EventLoop* loop = nullptr;
+  Endpoint endpoint;
+  HttpHandler handler;
+  h2o_globalconf_t config{};
+  h2o_context_t context{};
+  h2o_accept_ctx_t accept_context{};
+  h2o_socket_t* listener = nullptr;
+  std::size_t pending_requests = 0;
+};
+
+// Lives in the request's memory pool; h2o disposes it with the request.
+struct ExchangeHolder {
+  std::shared_ptr<PendingExchange> exchange;
+};
+
+namespace {
+
+std::string ToString(h2o_iovec_t text) {
+  return std::string(text.base, text.len);
+}
+
+void DetachExchange(PendingExchange* exchange) {
+  if (exchange->request == nullptr) return;
+  exchange->request = nullptr;
+  --exchange->server->pending_requests;
+}
+
+void DisposeExchangeHolder(void* memory) {
+  auto* holder = static_cast<ExchangeHolder*>(memory);
+  const std::shared_ptr<PendingExchange> exchange = std::move(holder->exchange);
+  holder->~ExchangeHolder();
+  if (exchange->request == nullptr) return;
+  DetachExchange(exchange.get());
+  if (exchange->on_abort) std::exchange(exchange->on_abort, nullptr)();
+}
+
+std::string RemoteAddress(h2o_req_t* request) {
+  sockaddr_storage address{};
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  if (request->conn->callbacks->get_peername(request->conn, generic) == 0) {
+    return "";
+  }
+  char text[NI_MAXHOST];
+  const std::size_t length =
+      h2o_socket_getnumerichost(generic, sizeof(sockaddr_in), text);
+  return length == SIZE_MAX ? "" : std::string(text, length);
+}
+
+HttpRequest ReadRequest(h2o_req_t* request) {
+  HttpRequest result;
+  result.method = ToString(request->method);
+  result.path = ToString(request->path);
+  result.remote_address = RemoteAddress(request);
+  if (request->entity.base != nullptr) result.body = ToString(request->entity);
+  result.headers.reserve(request->headers.size);
+  for (std::size_t i = 0; i < request->headers.size; ++i) {
+    const h2o_header_t& header = request->headers.entries[i];
+    result.headers.push_back({ToString(*header.name), ToString(header.value)});
+  }
+  return result;
+}
+
+int OnRequest(h2o_handler_t* handler, h2o_req_t* request) {
+  HttpServerState* server = reinterpret_cast<ServerHandler*>(handler)->server;
+  auto exchange = std::make_shared<PendingExchange>();
+  exchange->request = request;
+  exchange->server = server;
+  void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(ExchangeHolder),
+                                      DisposeExchangeHolder);
+  new (memory) ExchangeHolder{exchange};
+  ++server->pending_requests;
+  server->handler(ReadRequest(request), HttpResponder(std::move(exchange)));
+  return 0;
+}
+
+void OnAccept(h2o_socket_t* listener, const char* error) {
+  if (error != nullptr) return;
+  auto* server = static_cast<HttpServerState*>(listener->data);
+  h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
+  if (socket != nullptr) h2o_accept(&server->accept_context, socket);
+}
+
+// Returns a bound, listening, non-blocking socket, or -1 with errno set.
+int OpenListenSocket(const Endpoint& endpoint) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  if (fd < 0) return -1;
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(endpoint.port);
+  inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
+  const auto* generic = reinterpret_cast<const sockaddr*>(&address);
+  if (bind(fd, generic, sizeof(address)) != 0 ||
+      listen(fd, kListenBacklog) != 0) {
+    const int saved_errno = errno;
+    close(fd);
+    errno = saved_errno;
+    return -1;
+  }
+  return fd;
+}
+
+std::uint16_t BoundPort(int fd) {
+  sockaddr_in address{};
+  socklen_t length = sizeof(address);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+  return ntohs(address.sin_port);
+}
+
+std::uint64_t Milliseconds(Duration duration) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+}  // namespace internal
+
+HttpResponder::HttpResponder(
+    std::shared_ptr<internal::PendingExchange> exchange)
+    : exchange(std::move(exchange)) {}
+
+void HttpResponder::Respond(const HttpResponse& response) const {
+  h2o_req_t* request = this->exchange->request;
+  if (request == nullptr) return;
+  internal::DetachExchange(this->exchange.get());
+  this->exchange->on_abort = nullptr;
+  request->res.status = response.status;
+  request->res.reason = "status";
+  for (const HttpHeader& header : response.headers) {
+    const h2o_iovec_t name =
+        h2o_strdup(&request->pool, header.name.data(), header.name.size());
+    const h2o_iovec_t value =
+        h2o_strdup(&request->pool, header.value.data(), header.value.size());
+    h2o_add_header_by_str(&request->pool, &request->res.headers, name.base,
+                          name.len, 1, nullptr, value.base, value.len);
+  }
+  h2o_send_inline(request, response.body.data(), response.body.size());
+}
+
+void HttpResponder::OnAbort(std::function<void()> callback) const {
+  this->exchange->on_abort = std::move(callback);
+}
+
+HttpServer::HttpServer(std::unique_ptr<internal::HttpServerState> state)
+    : state(std::move(state)) {}
+
+HttpServer::~HttpServer() {
+  this->StopAccepting();
+  // h2o keeps pointers to the configuration in open connections, so the state
+  // is not freed; a server lives as long as its process in production.
+  this->state->handler = [](const HttpRequest&,
+                            const HttpResponder& responder) {
+    responder.Respond({.status = 503, .headers = {}, .body = ""});
+  };
+  static_cast<void>(this->state.release());
+}
+
+const Endpoint& HttpServer::endpoint() const { return this->state->endpoint; }
+
+void HttpServer::StopAccepting() {
+  if (this->state->listener == nullptr) return;
+  h2o_socket_close(this->state->listener);
+  this->state->listener = nullptr;
+}
+
+void HttpServer::BeginGracefulShutdown() {
+  h2o_context_request_shutdown(&this->state->context);
+}
+
+std::size_t HttpServer::PendingRequests() const {
+  return this->state->pending_requests;
+}
+
+HttpServerBuilder::HttpServerBuilder(EventLoop* loop) : loop(loop) {}
+
+HttpServerBuilder& HttpServerBuilder::Listen(Endpoint endpoint) {
+  this->listen_endpoint = std::move(endpoint);
+  return *this;
+}
+
+HttpServerBuilder& HttpServerBuilder::MaxBodySize(std::size_t bytes) {
+  this->max_body_size = bytes;
+  return *this;
+}
+
+HttpServerBuilder& HttpServerBuilder::RequestTimeout(Duration timeout) {
+  this->request_timeout = timeout;
+  return *this;
+}
+
+HttpServerBuilder& HttpServerBuilder::Handler(HttpHandler handler) {
+  this->handler = std::move(handler);
+  return *this;
+}
+
+std::variant<std::unique_ptr<HttpServer>, ListenError>
+HttpServerBuilder::Build() {
+  const int fd = internal::OpenListenSocket(this->listen_endpoint);
+  if (fd < 0) {
+    return ListenError{fmt::format("cannot listen on {}: {}",
+                                   ToString(this->listen_endpoint),
+                                   std::strerror(errno))};
+  }
+  auto state = std::make_unique<internal::HttpServerState>();
+  state->loop = this->loop;
+  state->endpoint = {this->listen_endpoint.address, internal::BoundPort(fd)};
+  state->handler = std::move(this->handler);
+
+  h2o_config_init(&state->config);
+  state->config.server_name = h2o_iovec_init(H2O_STRLIT("sequoiapath"));
+  state->config.max_request_entity_size = this->max_body_size;
+  state->config.http1.req_timeout =
+      internal::Milliseconds(this->request_timeout);
+  state->config.http2.idle_timeout =
+      internal::Milliseconds(this->request_timeout);
+  h2o_hostconf_t* host = h2o_config_register_host(
+      &state->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+  h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
+  h2o_handler_t* handler =
+      h2o_create_handler(path, sizeof(internal::ServerHandler));
+  handler->on_req = internal::OnRequest;
+  reinterpret_cast<internal::ServerHandler*>(handler)->server = state.get();
+
+  h2o_context_init(&state->context, this->loop->native(), &state->config);
+  state->accept_context.ctx = &state->context;
+  state->accept_context.hosts = state->config.hosts;
+  state->listener = h2o_evloop_socket_create(this->loop->native(), fd,
+                                             H2O_SOCKET_FLAG_DONT_READ);
+  state->listener->data = state.get();
+  h2o_socket_read_start(state->listener, internal::OnAccept);
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
+}
+
+}  // namespace sequoiapath
--- /dev/null
+++ b/scripts/check_format.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Fails if a source file is not formatted.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+find packages tests bench -name '*.cc' -o -name '*.h' |
+  xargs clang-format --dry-run -Werror
--- /dev/null
+++ b/tests/correctness/job_test.cc
@@ -0,0 +1,44 @@
+// Guards the JSON forms of submissions and answers.
+
+#include "sequoiapath/protocol/job.h"
+
+#include <gtest/gtest.h>
+
+namespace sequoiapath {
+namespace {
+
+TEST(JobTest, RequestSurvivesEncodingAndDecoding) {
+  JobRequest request;
+  request.service = "label-check";
+  request.payloads = {R"({"label":1})", "2"};
+  request.deadline = std::chrono::milliseconds(1500);
+  request.priority = Priority::kUrgent;
+  request.demand = {.cores = 2, .memory_mb = 512, .accelerators = 1};
+  request.places = {"heredia"};
+  const auto decoded = DecodeJobRequest(EncodeJobRequest(request));
+  ASSERT_EQ(GetFailure(decoded), nullptr);
+  const auto& copy = std::get<JobRequest>(decoded);
+  EXPECT_EQ(copy.service, request.service);
+  EXPECT_EQ(copy.payloads, request.payloads);
+  EXPECT_EQ(copy.deadline, request.deadline);
+  EXPECT_EQ(copy.priority, request.priority);
+  EXPECT_EQ(copy.demand, request.demand);
+  EXPECT_EQ(copy.places, request.places);
+}
+
+// A failed answer must not carry results (G2).
+TEST(JobTest, FailedAnswerCarriesNoResults) {
+  const JobAnswer answer{
+      "r1", Failure{Verdict::kMayHaveRun, Reason::kWorkerSilent,
+                    RetryAdvice::kNever, std::chrono::milliseconds(5), "x"}};
+  const std::string body = EncodeJobAnswer(answer);
+  EXPECT_EQ(body.find("results"), std::string::npos);
+  const auto decoded = DecodeJobAnswer(body);
+  ASSERT_EQ(GetFailure(decoded), nullptr);
+  const auto& failure = std::get<Failure>(std::get<JobAnswer>(decoded).outcome);
+  EXPECT_EQ(failure.verdict, Verdict::kMayHaveRun);
+  EXPECT_EQ(failure.retry_after, std::chrono::milliseconds(5));
+}
+
+}  // namespace
+}  // namespace sequoiapath
