Decide how the configuration spreads between daemons

Change: ConfigSpread chooses watchers by hash rank, pulls from a peer that is ahead, and sends RFC 6902 patches over lists keyed by name, or the whole document compressed with zstd. Only a greater generation is adopted.

--- /dev/null
+++ b/tests/correctness/config_spread_test.cc
@@ -0,0 +1,161 @@
+// Guards the spread of the configuration between daemons: it never reverts
+// (G8), reaches every daemon through any connected peer, and travels as
+// patches.
+
+#include "sequoiapath/coordination/config_spread.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace sequoiapath {
+namespace {
+
+ConfigRecord MakeRecord(std::uint64_t generation, int workers,
+                        const std::string& change_id = "c") {
+  Document document;
+  for (int i = 0; i < workers; ++i) {
+    WorkerSpec worker;
+    worker.name = "w-" + std::to_string(100000 + i);
+    worker.data_centre = "heredia";
+    worker.address = {"10.0.0.1", static_cast<std::uint16_t>(1000 + i)};
+    document.workers.push_back(worker);
+  }
+  document.teams.push_back({"team", static_cast<int>(generation), 1});
+  ConfigRecord record{generation, change_id, "", EncodeDocument(document)};
+  record.digest = Sha256Hex(record.document);
+  return record;
+}
+
+TEST(ConfigSpreadTest, OnlyAGreaterGenerationIsAdopted) {
+  ConfigSpread spread;
+  EXPECT_EQ(AdoptRecord(&spread, MakeRecord(5, 3)), AdoptOutcome::kAdopted);
+  EXPECT_EQ(AdoptRecord(&spread, MakeRecord(4, 3)), AdoptOutcome::kOlder);
+  EXPECT_EQ(AdoptRecord(&spread, MakeRecord(5, 3)),
+            AdoptOutcome::kAlreadyInForce);
+  EXPECT_EQ(AdoptRecord(&spread, MakeRecord(5, 2)), AdoptOutcome::kConflict);
+  EXPECT_EQ(spread.current->document, MakeRecord(5, 3).document);
+}
+
+// An entry added in the middle of a list must not rewrite the rest of the list.
+TEST(ConfigSpreadTest, PatchOfOneAddedWorkerIsSmall) {
+  const ConfigRecord before = MakeRecord(1, 1000);
+  Document document = std::get<Document>(ParseDocumentJson(before.document));
+  WorkerSpec added = document.workers[500];
+  added.name += "-b";
+  document.workers.insert(document.workers.begin() + 501, added);
+  ConfigRecord after{2, "c2", "", EncodeDocument(document)};
+  after.digest = Sha256Hex(after.document);
+  const ConfigPatch patch = MakeConfigPatch(before, after);
+  EXPECT_LT(patch.patch.size(), 1000u);
+  const auto applied = ApplyConfigPatch(before, patch);
+  ASSERT_EQ(GetFailure(applied), nullptr);
+  EXPECT_EQ(std::get<ConfigRecord>(applied), after);
+}
+
+TEST(ConfigSpreadTest, PatchWithAnotherBaseIsRefused) {
+  const ConfigPatch patch = MakeConfigPatch(MakeRecord(1, 5), MakeRecord(2, 6));
+  ConfigRecord other = MakeRecord(1, 4);
+  EXPECT_NE(GetFailure(ApplyConfigPatch(other, patch)), nullptr);
+  other = MakeRecord(3, 5);
+  EXPECT_NE(GetFailure(ApplyConfigPatch(other, patch)), nullptr);
+}
+
+TEST(ConfigSpreadTest, DaemonFarBehindGetsTheWholeDocument) {
+  ConfigSpread spread;
+  spread.limits.max_patch_bytes = 200;
+  for (std::uint64_t generation = 1; generation <= 10; ++generation) {
+    AdoptRecord(&spread, MakeRecord(generation, 20));
+  }
+  EXPECT_TRUE(std::holds_alternative<PatchChain>(AnswerPull(spread, 9)));
+  EXPECT_TRUE(std::holds_alternative<WholeDocument>(AnswerPull(spread, 1)));
+  EXPECT_TRUE(std::holds_alternative<UpToDate>(AnswerPull(spread, 10)));
+}
+
+TEST(ConfigSpreadTest, TwoWatchersAndTakeOver) {
+  const ConfigSpreadLimits limits;
+  std::vector<std::string> live = {"vm-1", "vm-2", "vm-3", "vm-4", "vm-5"};
+  const auto watchers = [&] {
+    std::vector<std::string> result;
+    for (const std::string& vm : live) {
+      if (IsWatcher(limits, vm, live)) result.push_back(vm);
+    }
+    return result;
+  };
+  const auto before = watchers();
+  ASSERT_EQ(before.size(), 2u);
+  std::erase(live, before[0]);
+  const auto after = watchers();
+  EXPECT_EQ(after.size(), 2u);
+  EXPECT_NE(std::find(after.begin(), after.end(), before[1]), after.end());
+}
+
+TEST(ConfigSpreadTest, FailedPullAsksAnotherPeer) {
+  ConfigSpread spread;
+  const TimePoint now{};
+  NotePeerGeneration(&spread, "a", 7);
+  NotePeerGeneration(&spread, "b", 7);
+  const auto first = NextPull(&spread, 0, now);
+  ASSERT_TRUE(first);
+  EXPECT_FALSE(NextPull(&spread, 0, now));
+  FinishPull(&spread, /*succeeded=*/false);
+  const auto second = NextPull(&spread, 0, now);
+  ASSERT_TRUE(second);
+  EXPECT_NE(*first, *second);
+}
+
+TEST(ConfigSpreadTest, CompressedDocumentIsBounded) {
+  const std::string document(100000, 'x');
+  const std::string compressed = CompressDocument(document);
+  const auto whole = DecompressDocument(compressed, document.size());
+  ASSERT_EQ(GetFailure(whole), nullptr);
+  EXPECT_EQ(std::get<std::string>(whole), document);
+  EXPECT_NE(GetFailure(DecompressDocument(compressed, 1000)), nullptr);
+  EXPECT_NE(GetFailure(DecompressDocument("rubbish", 1000)), nullptr);
+}
+
+// Random exchanges between daemons with loss: no generation ever decreases and
+// all daemons converge once messages get through.
+TEST(ConfigSpreadTest, RandomExchangesConvergeAndNeverRevert) {
+  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+    SCOPED_TRACE(seed);
+    std::mt19937 random(seed);
+    constexpr std::size_t kDaemons = 8;
+    std::vector<ConfigSpread> daemons(kDaemons);
+    std::uint64_t generation = 0;
+    TimePoint now{};
+    const auto exchange = [&](bool lossy) {
+      const std::size_t to = random() % kDaemons;
+      const std::size_t from = random() % kDaemons;
+      now += std::chrono::milliseconds(100);
+      if (daemons[from].current) {
+        NotePeerGeneration(&daemons[to], std::to_string(from),
+                           daemons[from].current->generation);
+      }
+      const auto peer = NextPull(&daemons[to], random(), now);
+      if (!peer || (lossy && random() % 3 == 0)) return;
+      const std::uint64_t before =
+          daemons[to].current ? daemons[to].current->generation : 0;
+      const auto applied = ApplyPullReply(
+          &daemons[to], AnswerPull(daemons[std::stoul(*peer)], before));
+      FinishPull(&daemons[to], GetFailure(applied) == nullptr);
+      ASSERT_GE(daemons[to].current->generation, before);
+    };
+    for (int step = 0; step < 300; ++step) {
+      if (step % 10 == 0) {
+        ++generation;
+        AdoptRecord(&daemons[random() % kDaemons],
+                    MakeRecord(generation, 3 + static_cast<int>(generation)));
+      }
+      exchange(/*lossy=*/true);
+    }
+    for (int step = 0; step < 500; ++step) exchange(/*lossy=*/false);
+    for (const ConfigSpread& daemon : daemons) {
+      ASSERT_TRUE(daemon.current);
+      EXPECT_EQ(daemon.current->generation, generation);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace sequoiapath
