--- a/packages/cli/command.h
+++ b/packages/cli/command.h
@@ -13,6 +13,8 @@
 };
 
 // Each runs one subcommand; argv[0] is the subcommand's name.
+int RunSession(int argc, const char** argv);
+int RunCancel(int argc, const char** argv);
 int RunSubmit(int argc, const char** argv);
 int RunApply(int argc, const char** argv);
 
--- a/packages/cli/main.cc
+++ b/packages/cli/main.cc
@@ -1,6 +1,5 @@
 // The command for callers and operators.
 
-#include <array>
 #include <csignal>
 #include <cstdio>
 #include <string_view>
@@ -17,10 +16,12 @@
   int (*run)(int argc, const char** argv);
 };
 
-constexpr std::array<Command, 2> kCommands{{
+constexpr Command kCommands[] = {
+    {"session", "open a session and print its id", RunSession},
     {"submit", "submit a job and print its answer", RunSubmit},
+    {"cancel", "cancel a running job", RunCancel},
     {"apply", "put a configuration file in force", RunApply},
-}};
+};
 
 void PrintUsage(std::FILE* stream) {
   std::fputs("usage: sequoiapath COMMAND [OPTION...]\n\ncommands:\n", stream);
--- a/packages/cli/submit.cc
+++ b/packages/cli/submit.cc
@@ -1,4 +1,5 @@
-// Subcommand "submit": opens a session, submits one job and prints its answer.
+// Subcommands "session", "submit" and "cancel": open a session, submit one job
+// and print its answer, cancel a job.
 
 #include <fmt/format.h>
 
@@ -16,6 +17,8 @@
 namespace {
 
 constexpr const char* kName = "sequoiapath submit";
+constexpr const char* kSessionName = "sequoiapath session";
+constexpr const char* kCancelName = "sequoiapath cancel";
 constexpr auto kSessionTimeout = std::chrono::seconds(5);
 // Covers the job's deadline, which the daemon enforces, and the way back.
 constexpr auto kAnswerTimeout = std::chrono::minutes(2);
@@ -50,11 +53,15 @@
   return body["session"].get<std::string>();
 }
 
+std::string JobPath(const std::string& session, long sequence) {
+  return fmt::format("/v1/sessions/{}/jobs/{}", session, sequence);
+}
+
 int SubmitJob(const Endpoint& endpoint, const std::string& session,
-              std::string body) {
+              long sequence, std::string body) {
   HttpRequest request;
   request.method = "PUT";
-  request.path = fmt::format("/v1/sessions/{}/jobs/1", session);
+  request.path = JobPath(session, sequence);
   request.body = std::move(body);
   const auto response = Call(endpoint, std::move(request), kAnswerTimeout);
   if (!response) return kExitNoReply;
@@ -65,7 +72,7 @@
 }  // namespace
 }  // namespace internal
 
-int RunSubmit(int argc, const char** argv) {
+int RunSession(int argc, const char** argv) {
   StringOption endpoint_option;
   StringOption team;
   const poptOption options[] = {
@@ -74,10 +81,44 @@
       {"team", 't', POPT_ARG_STRING, team.slot(), 0, "team that submits",
        "NAME"},
       POPT_AUTOHELP POPT_TABLEEND};
+  const auto rest = ParseArguments(internal::kSessionName, argc, argv, options);
+  if (!rest) return kExitUsage;
+  if (!rest->empty() || !team.given()) {
+    fmt::print(stderr, "usage: {} --endpoint ADDRESS:PORT --team NAME\n",
+               internal::kSessionName);
+    return kExitUsage;
+  }
+  const auto endpoint =
+      RequireEndpoint(internal::kSessionName, endpoint_option);
+  if (!endpoint) return kExitUsage;
+  const auto session = internal::OpenSession(*endpoint, team.value());
+  if (const int* code = std::get_if<int>(&session)) return *code;
+  fmt::print("{}\n", std::get<std::string>(session));
+  return kExitOk;
+}
+
+int RunSubmit(int argc, const char** argv) {
+  StringOption endpoint_option;
+  StringOption team;
+  StringOption session_option;
+  long sequence = 1;
+  const poptOption options[] = {
+      {"endpoint", 'e', POPT_ARG_STRING, endpoint_option.slot(), 0,
+       "a daemon's caller address", "ADDRESS:PORT"},
+      {"team", 't', POPT_ARG_STRING, team.slot(), 0,
+       "team that submits, in a new session", "NAME"},
+      {"session", 's', POPT_ARG_STRING, session_option.slot(), 0,
+       "submit in this session instead", "ID"},
+      {"sequence", 'n', POPT_ARG_LONG, &sequence, 0,
+       "sequence number in the session (default 1)", "N"},
+      POPT_AUTOHELP POPT_TABLEEND};
   const auto files = ParseArguments(internal::kName, argc, argv, options);
   if (!files) return kExitUsage;
-  if (files->size() != 1 || !team.given()) {
-    fmt::print(stderr, "usage: {} --endpoint ADDRESS:PORT --team NAME FILE\n",
+  if (files->size() != 1 || team.given() == session_option.given() ||
+      sequence < 1) {
+    fmt::print(stderr,
+               "usage: {} --endpoint ADDRESS:PORT (--team NAME | --session ID "
+               "[--sequence N]) FILE\n",
                internal::kName);
     return kExitUsage;
   }
@@ -90,9 +131,45 @@
                failure->detail);
     return kExitUsage;
   }
-  const auto session = internal::OpenSession(*endpoint, team.value());
-  if (const int* code = std::get_if<int>(&session)) return *code;
-  return internal::SubmitJob(*endpoint, std::get<std::string>(session), *body);
+  std::string session = session_option.value();
+  if (team.given()) {
+    auto opened = internal::OpenSession(*endpoint, team.value());
+    if (const int* code = std::get_if<int>(&opened)) return *code;
+    session = std::get<std::string>(std::move(opened));
+  }
+  return internal::SubmitJob(*endpoint, session, sequence, *body);
+}
+
+int RunCancel(int argc, const char** argv) {
+  StringOption endpoint_option;
+  StringOption session;
+  long sequence = 0;
+  const poptOption options[] = {
+      {"endpoint", 'e', POPT_ARG_STRING, endpoint_option.slot(), 0,
+       "a daemon's caller address", "ADDRESS:PORT"},
+      {"session", 's', POPT_ARG_STRING, session.slot(), 0, "the job's session",
+       "ID"},
+      {"sequence", 'n', POPT_ARG_LONG, &sequence, 0,
+       "the job's sequence number", "N"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  const auto rest = ParseArguments(internal::kCancelName, argc, argv, options);
+  if (!rest) return kExitUsage;
+  if (!rest->empty() || !session.given() || sequence < 1) {
+    fmt::print(stderr,
+               "usage: {} --endpoint ADDRESS:PORT --session ID --sequence N\n",
+               internal::kCancelName);
+    return kExitUsage;
+  }
+  const auto endpoint = RequireEndpoint(internal::kCancelName, endpoint_option);
+  if (!endpoint) return kExitUsage;
+  HttpRequest request;
+  request.method = "DELETE";
+  request.path = internal::JobPath(session.value(), sequence);
+  const auto response =
+      internal::Call(*endpoint, std::move(request), internal::kSessionTimeout);
+  if (!response) return kExitNoReply;
+  fmt::print("{}\n", response->body);
+  return response->status == 202 ? kExitOk : kExitFailed;
 }
 
 }  // namespace sequoiapath
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -73,3 +73,116 @@
     return 1
   done
 }
+
+# wait_until SECONDS COMMAND...: repeats a command until it succeeds.
+wait_until() {
+  local tries=$(($1 * 20))
+  shift
+  for _ in $(seq "$tries"); do
+    "$@" && return 0
+    sleep 0.05
+  done
+  echo "still failing: $*" >&2
+  return 1
+}
+
+# sequoiapath ARGUMENT...: runs the command-line tool.
+sequoiapath() { "$build/packages/cli/sequoiapath" "$@"; }
+
+# worker_stat KEY: prints a number from the statistics of the fake workers, which
+# must listen from $worker_port on.
+worker_stat() {
+  exec 8<>"/dev/tcp/127.0.0.1/$worker_port"
+  printf 'GET /stats HTTP/1.1\r\nhost: localhost\r\nconnection: close\r\n\r\n' >&8
+  grep -o "\"$1\":[0-9]*" <&8 | cut -d: -f2
+  exec 8<&- 8>&-
+}
+
+# write_job FILE SERVICE TASKS RUN_MS [EXTRA_JSON]: writes a job whose tasks carry
+# distinct values.
+write_job() {
+  local tasks
+  tasks=$(for i in $(seq "$3"); do echo "{\"value\": $i, \"run_ms\": $4}"; done | paste -sd,)
+  echo "{\"service\": \"$2\", \"tasks\": [$tasks]${5:+, $5}}" >"$1"
+}
+
+# write_document FILE DATA_CENTRE_WORKERS...: writes a configuration. Each argument
+# is NAME:COUNT; worker ports count up from $worker_port.
+write_document() {
+  local file=$1 port=$worker_port spec other
+  shift
+  {
+    for spec in "$@"; do
+      echo "[[data_centres]]"
+      echo "name = \"${spec%%:*}\""
+      echo "region = \"region-1\""
+      other=$(for other in "$@"; do
+        [ "$other" = "$spec" ] || echo "\"${other%%:*}\""
+      done | paste -sd,)
+      echo "neighbours = [$other]"
+    done
+    printf '[[services]]\nname = "check"\nidempotent = true\npriority = "urgent"\nlongest_run_ms = 5000\ndeadline_ms = 20000\n'
+    printf '[[services]]\nname = "post"\nlongest_run_ms = 5000\ndeadline_ms = 20000\n'
+    printf '[[teams]]\nname = "clerks"\nquota = 1000\n'
+    for spec in "$@"; do
+      for i in $(seq "${spec##*:}"); do
+        echo "[[workers]]"
+        echo "name = \"${spec%%:*}-$i\""
+        echo "data_centre = \"${spec%%:*}\""
+        echo "rack = \"${spec%%:*}-rack-$(((i + 7) / 8))\""
+        echo "address = \"127.0.0.1:$port\""
+        echo "cores = 16"
+        echo "memory_mb = 32768"
+        port=$((port + 1))
+      done
+    done
+  } >"$file"
+}
+
+# start_platform BASE_PORT DATA_CENTRE_WORKERS...: starts the store and the workers
+# and applies a configuration. Sets store_port and worker_port.
+start_platform() {
+  store_port=$1
+  worker_port=$(($1 + 100))
+  shift
+  local total=0 spec
+  for spec in "$@"; do total=$((total + ${spec##*:})); done
+  start store "$build/packages/fakes/fake_store" --port "$store_port"
+  start workers "$build/packages/fakes/fake_worker" --first-port "$worker_port" --count "$total"
+  write_document "$run_dir/document.toml" "$@"
+  wait_until 5 sequoiapath apply --store "127.0.0.1:$store_port" "$run_dir/document.toml" 2>/dev/null
+}
+
+failures=0
+
+# expect DESCRIPTION ACTUAL OPERATOR EXPECTED: checks with test(1) and reports.
+expect() {
+  if [ "$2" "$3" "$4" ]; then
+    echo "ok: $1 ($2 $3 $4)"
+  else
+    echo "FAILED: $1: found '$2', expected $3 '$4'"
+    failures=$((failures + 1))
+  fi
+}
+
+# expect_answer DESCRIPTION FILE PATTERN: checks that a file matches a pattern.
+expect_answer() {
+  if grep -qE "$3" "$2"; then
+    echo "ok: $1"
+  else
+    echo "FAILED: $1: no match for '$3' in: $(cut -c1-400 "$2")"
+    failures=$((failures + 1))
+  fi
+}
+
+# finish: ends the test; prints the daemons' logs if a check failed.
+finish() {
+  if [ "$failures" -gt 0 ]; then
+    for log in "$run_dir"/*.log; do
+      echo "--- $(basename "$log")"
+      tail -n 20 "$log"
+    done
+    exit 1
+  fi
+  exit 0
+}
