--- a/packages/cli/submit.cc
+++ b/packages/cli/submit.cc
@@ -53,12 +53,12 @@
   return body["session"].get<std::string>();
 }
 
-std::string JobPath(const std::string& session, long sequence) {
+std::string JobPath(const std::string& session, int sequence) {
   return fmt::format("/v1/sessions/{}/jobs/{}", session, sequence);
 }
 
 int SubmitJob(const Endpoint& endpoint, const std::string& session,
-              long sequence, std::string body) {
+              int sequence, std::string body) {
   HttpRequest request;
   request.method = "PUT";
   request.path = JobPath(session, sequence);
@@ -101,7 +101,7 @@
   StringOption endpoint_option;
   StringOption team;
   StringOption session_option;
-  long sequence = 1;
+  int sequence = 1;
   const poptOption options[] = {
       {"endpoint", 'e', POPT_ARG_STRING, endpoint_option.slot(), 0,
        "a daemon's caller address", "ADDRESS:PORT"},
@@ -109,7 +109,7 @@
        "team that submits, in a new session", "NAME"},
       {"session", 's', POPT_ARG_STRING, session_option.slot(), 0,
        "submit in this session instead", "ID"},
-      {"sequence", 'n', POPT_ARG_LONG, &sequence, 0,
+      {"sequence", 'n', POPT_ARG_INT, &sequence, 0,
        "sequence number in the session (default 1)", "N"},
       POPT_AUTOHELP POPT_TABLEEND};
   const auto files = ParseArguments(internal::kName, argc, argv, options);
@@ -143,14 +143,14 @@
 int RunCancel(int argc, const char** argv) {
   StringOption endpoint_option;
   StringOption session;
-  long sequence = 0;
+  int sequence = 0;
   const poptOption options[] = {
       {"endpoint", 'e', POPT_ARG_STRING, endpoint_option.slot(), 0,
        "a daemon's caller address", "ADDRESS:PORT"},
       {"session", 's', POPT_ARG_STRING, session.slot(), 0, "the job's session",
        "ID"},
-      {"sequence", 'n', POPT_ARG_LONG, &sequence, 0,
-       "the job's sequence number", "N"},
+      {"sequence", 'n', POPT_ARG_INT, &sequence, 0, "the job's sequence number",
+       "N"},
       POPT_AUTOHELP POPT_TABLEEND};
   const auto rest = ParseArguments(internal::kCancelName, argc, argv, options);
   if (!rest) return kExitUsage;
