--- a/packages/transport/src/http_client.cc
+++ b/packages/transport/src/http_client.cc
@@ -5,7 +5,6 @@
 #include <h2o.h>
 #include <h2o/http1client.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <algorithm>
 #include <limits>
@@ -14,14 +13,11 @@
 #include <utility>
 #include <vector>
 
+#include "socket_options.h"
+
 namespace sequoiapath {
 namespace internal {
 
-// Detects a dead path on connections whose request is in flight.
-constexpr auto kTcpUserTimeout = std::chrono::seconds(10);
-constexpr int kKeepAliveIdleSeconds = 5;
-constexpr int kKeepAliveIntervalSeconds = 2;
-constexpr int kKeepAliveProbes = 3;
 // h2o's own timeout only backs up the timer of each request.
 constexpr auto kIoTimeout = std::chrono::hours(1);
 
@@ -165,8 +161,14 @@
 }
 
 // Aborts the exchange inside h2o, which closes the socket, and reports `kind`.
+// Request bytes that the server has not received yet are discarded.
 void Abort(Call* call, HttpErrorKind kind, std::string message) {
-  if (call->h2o_client != nullptr) h2o_http1client_cancel(call->h2o_client);
+  if (call->h2o_client != nullptr) {
+    if (call->h2o_client->sock != nullptr) {
+      DiscardUnsentOnClose(h2o_socket_get_fd(call->h2o_client->sock));
+    }
+    h2o_http1client_cancel(call->h2o_client);
+  }
   Fail(call, kind, std::move(message));
 }
 
@@ -218,22 +220,6 @@
   return OnBody;
 }
 
-void ConfigureSocket(int fd) {
-  const int on = 1;
-  const int user_timeout_ms =
-      static_cast<int>(std::chrono::milliseconds(kTcpUserTimeout).count());
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds,
-             sizeof(kKeepAliveIdleSeconds));
-  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalSeconds,
-             sizeof(kKeepAliveIntervalSeconds));
-  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes,
-             sizeof(kKeepAliveProbes));
-  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
-             sizeof(user_timeout_ms));
-}
-
 h2o_http1client_head_cb OnConnect(h2o_http1client_t* h2o_client,
                                   const char* error, h2o_iovec_t** buffers,
                                   std::size_t* buffer_count,
@@ -245,7 +231,7 @@
     return nullptr;
   }
   call->client->loop->Cancel(call->connect_timer);
-  ConfigureSocket(h2o_socket_get_fd(h2o_client->sock));
+  ConfigureClientSocket(h2o_socket_get_fd(h2o_client->sock));
   call->buffers[0] = h2o_iovec_init(call->head.data(), call->head.size());
   call->buffers[1] = h2o_iovec_init(call->body.data(), call->body.size());
   *buffers = call->buffers;
