Add the member view, PeerService and the TCP relay

Cause: daemons need to know each other, exchange messages that only the cluster can send, and be tested against silent, slow and cut connections. Change: MemberView decides in virtual time whom to contact, who is suspect or down, and which incarnation is current; PeerService checks the peer token before it decodes a body; tcp_relay delays, drops or cuts connections on command. Figures: with 64 peers the mesh interval is 1 s, so the rate stays at 64 heartbeats a second (MemberViewTest.HeartbeatRateIsBounded).

--- /dev/null
+++ b/packages/coordination/src/member_view.cc
@@ -0,0 +1,423 @@
+#include "sequoiapath/coordination/member_view.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+// A member that joined has received the records that are older than this with
+// its join reply.
+constexpr auto kJoinCoverage = std::chrono::minutes(1);
+
+// The list of another daemon may be behind by this much.
+constexpr auto kListLag = std::chrono::minutes(1);
+
+bool IsLocal(const MemberView& view, const Member& member) {
+  return member.identity.data_centre == view.self.data_centre;
+}
+
+// Rendezvous hashing: each process of a data centre prefers other contacts.
+std::uint64_t ContactWeight(const MemberView& view, const Member& member) {
+  const std::string text = view.self.vm + '/' + member.identity.vm;
+  return XXH3_64bits(text.data(), text.size());
+}
+
+std::uint64_t RecordsCoveredByJoin(const MemberView& view, TimePoint now) {
+  std::uint64_t covered = 0;
+  for (const auto& [ended, known] : view.succession) {
+    if (known.learned_at + kJoinCoverage <= now) {
+      covered = std::max(covered, known.number);
+    }
+  }
+  return covered;
+}
+
+// Adds the process or lets it replace the VM's earlier incarnation.
+Member* AddMember(MemberView* view, const MemberIdentity& identity,
+                  TimePoint now) {
+  Member& member = view->members[identity.vm];
+  if (member.identity.incarnation != 0) {
+    view->replaced[member.identity.incarnation] = {identity.vm, now};
+  }
+  view->replaced.erase(identity.incarnation);
+  member = Member{};
+  member.identity = identity;
+  member.heard_at = now;
+  member.next_heartbeat = now;
+  member.acknowledged_records = RecordsCoveredByJoin(*view, now);
+  return &member;
+}
+
+Member* FindIncarnation(MemberView* view, const MemberIdentity& identity) {
+  const auto it = view->members.find(identity.vm);
+  if (it == view->members.end() ||
+      it->second.identity.incarnation != identity.incarnation) {
+    return nullptr;
+  }
+  return &it->second;
+}
+
+// Says whether what is known of the VM outweighs another daemon's list.
+bool KeepsIncarnation(const MemberView& view, const MemberIdentity& listed,
+                      TimePoint now) {
+  const auto it = view.members.find(listed.vm);
+  if (it == view.members.end() || !it->second.heard_directly) return false;
+  return it->second.monitored || now - it->second.heard_at < kListLag;
+}
+
+Sighting Observe(MemberView* view, const MemberIdentity& sender, bool leaving,
+                 TimePoint now) {
+  Member* member = FindIncarnation(view, sender);
+  const bool known = member != nullptr;
+  if (!known) member = AddMember(view, sender, now);
+  member->heard_directly = true;
+  member->heard_at = std::max(member->heard_at, now);
+  member->leaving = leaving;
+  return known ? Sighting::kAccepted : Sighting::kNew;
+}
+
+bool IsContactCandidate(const MemberView& view, const Member& member,
+                        TimePoint now) {
+  return !member.leaving &&
+         (member.state != MemberState::kDown ||
+          now - member.down_since >= view.policy.contact_retry);
+}
+
+// Marks the members that receive heartbeats. A data centre whose members are
+// all unusable keeps its preferred contacts, so that its return is noticed.
+void ChooseMonitored(MemberView* view, TimePoint now) {
+  std::map<std::string, std::vector<Member*>> remote;
+  for (auto& [vm, member] : view->members) {
+    if (!IsLocal(*view, member)) {
+      remote[member.identity.data_centre].push_back(&member);
+    } else if (!member.monitored) {
+      member.monitored = true;
+      member.heard_at = std::max(member.heard_at, now);
+    }
+  }
+  for (auto& [data_centre, members] : remote) {
+    std::sort(members.begin(), members.end(),
+              [view, now](const Member* a, const Member* b) {
+                const bool a_usable = IsContactCandidate(*view, *a, now);
+                const bool b_usable = IsContactCandidate(*view, *b, now);
+                if (a_usable != b_usable) return a_usable;
+                return ContactWeight(*view, *a) > ContactWeight(*view, *b);
+              });
+    for (std::size_t i = 0; i < members.size(); ++i) {
+      const bool chosen = i < view->policy.contacts_per_data_centre;
+      if (chosen && !members[i]->monitored) {
+        // Its silence counts from now: it was not asked before.
+        members[i]->heard_at = std::max(members[i]->heard_at, now);
+        members[i]->next_heartbeat = now;
+      }
+      members[i]->monitored = chosen;
+    }
+  }
+}
+
+Duration IntervalOf(const MemberView& view, const Member& member) {
+  const Duration interval =
+      IsLocal(view, member) ? MeshInterval(view) : view.policy.contact_interval;
+  return member.state == MemberState::kDown
+             ? std::max(interval, view.policy.retry_interval)
+             : interval;
+}
+
+// The state that a member's silence calls for.
+MemberState JudgeState(const MemberView& view, const Member& member,
+                       TimePoint now) {
+  const Duration interval =
+      IsLocal(view, member) ? MeshInterval(view) : view.policy.contact_interval;
+  const Duration silence = now - member.heard_at;
+  if (member.monitored && silence >= interval + view.policy.down_margin) {
+    return MemberState::kDown;
+  }
+  // Only a message of its own ends the state of a member that was down.
+  if (member.state == MemberState::kDown &&
+      member.heard_at <= member.down_since) {
+    return MemberState::kDown;
+  }
+  if (member.leaving) return MemberState::kLeaving;
+  if (!member.heard_directly ||
+      (member.monitored && silence >= interval + view.policy.suspect_margin)) {
+    return MemberState::kSuspect;
+  }
+  return MemberState::kLive;
+}
+
+void UpdateStates(MemberView* view, TimePoint now,
+                  std::vector<MemberStateChange>* changes) {
+  for (auto& [vm, member] : view->members) {
+    const MemberState after = JudgeState(*view, member, now);
+    if (after == member.state) continue;
+    if (after == MemberState::kDown) member.down_since = now;
+    changes->push_back({member.identity, member.state, after});
+    member.state = after;
+  }
+}
+
+// After a pause, messages of peers may still wait in the sockets; the paused
+// time must not be taken for their silence.
+void ForgivePause(MemberView* view, TimePoint now) {
+  const auto last = std::exchange(view->last_plan, now);
+  if (!last.has_value()) return;
+  const Duration gap = now - *last;
+  if (gap < view->policy.pause_threshold) return;
+  for (auto& [vm, member] : view->members) {
+    // A member that was down stays so until it is heard.
+    if (member.state == MemberState::kDown) continue;
+    // Even a peer that was nearly down gets the time to answer.
+    const TimePoint earliest = now - view->policy.suspect_margin;
+    member.heard_at = std::clamp(member.heard_at + gap, earliest, now);
+    member.next_heartbeat = now;
+  }
+}
+
+void RemoveExpired(MemberView* view, TimePoint now) {
+  std::erase_if(view->members, [view, now](const auto& entry) {
+    const Member& member = entry.second;
+    if (member.state == MemberState::kDown) {
+      return now - member.down_since >= view->policy.forget_down;
+    }
+    return !member.monitored &&
+           now - std::max(member.heard_at, member.listed_at) >=
+               view->policy.forget_unlisted;
+  });
+  std::erase_if(view->replaced, [view, now](const auto& entry) {
+    return now - entry.second.replaced_at >= view->policy.succession_retention;
+  });
+  std::erase_if(view->succession, [view, now](const auto& entry) {
+    return now - entry.second.handed_over_at >=
+           view->policy.succession_retention;
+  });
+}
+
+SuccessionRecord ToRecord(Incarnation ended, const KnownSuccession& known,
+                          TimePoint now) {
+  return {ended, known.successor,
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              now - known.handed_over_at)};
+}
+
+// Takes the oldest records that the member has not acknowledged.
+HeartbeatTarget MakeTarget(const MemberView& view, const Member& member,
+                           TimePoint now) {
+  HeartbeatTarget target{member.identity, {}, member.acknowledged_records};
+  if (member.acknowledged_records == view.last_record_number) return target;
+  std::map<std::uint64_t, SuccessionRecord> pending;
+  for (const auto& [ended, known] : view.succession) {
+    if (known.number > member.acknowledged_records) {
+      pending.emplace(known.number, ToRecord(ended, known, now));
+    }
+  }
+  for (auto& [number, record] : pending) {
+    if (target.succession.size() == view.policy.max_records_per_heartbeat) {
+      return target;
+    }
+    target.succession.push_back(std::move(record));
+    target.records_up_to = number;
+  }
+  target.records_up_to = view.last_record_number;
+  return target;
+}
+
+void PlanTargets(MemberView* view, TimePoint now, MemberActions* actions) {
+  for (auto& [vm, member] : view->members) {
+    if (!member.monitored || now < member.next_heartbeat) continue;
+    actions->heartbeats.push_back(MakeTarget(*view, member, now));
+    // Keeps the rate despite the caller's tick, unless a whole interval was
+    // missed.
+    const Duration interval = IntervalOf(*view, member);
+    member.next_heartbeat =
+        std::max(member.next_heartbeat + interval, now + interval / 2);
+  }
+}
+
+bool IsKnownEndpoint(const MemberView& view, const Endpoint& endpoint) {
+  return endpoint == view.self.peer_endpoint ||
+         std::any_of(view.members.begin(), view.members.end(),
+                     [&endpoint](const auto& entry) {
+                       return entry.second.identity.peer_endpoint == endpoint;
+                     });
+}
+
+void PlanJoins(MemberView* view, TimePoint now, MemberActions* actions) {
+  for (SeedContact& seed : view->seeds) {
+    if (now < seed.next_join || IsKnownEndpoint(*view, seed.endpoint)) continue;
+    actions->joins.push_back(seed.endpoint);
+    seed.next_join = now + view->policy.retry_interval;
+  }
+}
+
+// Asks one contact of each other data centre for its list of members.
+void PlanRefresh(MemberView* view, TimePoint now, MemberActions* actions) {
+  for (const auto& [vm, member] : view->members) {
+    if (IsLocal(*view, member) || !member.monitored ||
+        member.state != MemberState::kLive) {
+      continue;
+    }
+    TimePoint& next = view->next_refresh[member.identity.data_centre];
+    if (now < next) continue;
+    next = now + view->policy.refresh_interval;
+    actions->joins.push_back(member.identity.peer_endpoint);
+  }
+}
+
+}  // namespace
+}  // namespace internal
+
+const char* ToString(MemberState state) {
+  switch (state) {
+    case MemberState::kLive:
+      return "live";
+    case MemberState::kSuspect:
+      return "suspect";
+    case MemberState::kDown:
+      return "down";
+    case MemberState::kLeaving:
+      return "leaving";
+  }
+  return "unknown";
+}
+
+MemberView MakeMemberView(MemberIdentity self,
+                          const std::vector<Endpoint>& seeds,
+                          HeartbeatPolicy policy) {
+  MemberView view;
+  view.policy = policy;
+  view.self = std::move(self);
+  for (const Endpoint& endpoint : seeds) view.seeds.push_back({endpoint, {}});
+  return view;
+}
+
+Sighting ObserveRequest(MemberView* view, const MemberIdentity& sender,
+                        bool leaving, TimePoint now) {
+  // A message of this VM's earlier incarnation is also ignored.
+  if (sender.vm == view->self.vm ||
+      view->replaced.contains(sender.incarnation)) {
+    return Sighting::kIgnored;
+  }
+  return internal::Observe(view, sender, leaving, now);
+}
+
+Sighting ObserveReply(MemberView* view, const MemberIdentity& sender,
+                      bool leaving, TimePoint sent_at, TimePoint now) {
+  if (sender.vm == view->self.vm) return Sighting::kIgnored;
+  const auto replaced = view->replaced.find(sender.incarnation);
+  if (replaced != view->replaced.end() &&
+      sent_at < replaced->second.replaced_at) {
+    return Sighting::kIgnored;
+  }
+  return internal::Observe(view, sender, leaving, now);
+}
+
+void LearnMembers(MemberView* view, const MemberIdentity& teller,
+                  const std::vector<MemberRecord>& records, TimePoint now) {
+  for (const MemberRecord& record : records) {
+    const MemberIdentity& identity = record.identity;
+    if (identity.vm == view->self.vm ||
+        view->replaced.contains(identity.incarnation)) {
+      continue;
+    }
+    Member* member = internal::FindIncarnation(view, identity);
+    if (member == nullptr && internal::KeepsIncarnation(*view, identity, now)) {
+      continue;
+    }
+    if (member == nullptr) {
+      member = internal::AddMember(view, identity, now);
+      member->leaving = record.leaving;
+    }
+    // Others may repeat each other's lists and never see that a VM has ended.
+    if (identity.data_centre == teller.data_centre) member->listed_at = now;
+  }
+}
+
+void ForgetMember(MemberView* view, const std::string& vm) {
+  view->members.erase(vm);
+}
+
+Duration MeshInterval(const MemberView& view) {
+  const auto peers = static_cast<std::size_t>(std::count_if(
+      view.members.begin(), view.members.end(), [&view](const auto& entry) {
+        return internal::IsLocal(view, entry.second);
+      }));
+  const HeartbeatPolicy& policy = view.policy;
+  if (peers <= policy.mesh_size) return policy.mesh_interval;
+  return policy.mesh_interval * static_cast<Duration::rep>(peers) /
+         static_cast<Duration::rep>(policy.mesh_size);
+}
+
+MemberActions PlanHeartbeats(MemberView* view, TimePoint now) {
+  MemberActions actions;
+  internal::ForgivePause(view, now);
+  internal::UpdateStates(view, now, &actions.changes);
+  internal::RemoveExpired(view, now);
+  internal::ChooseMonitored(view, now);
+  internal::PlanTargets(view, now, &actions);
+  internal::PlanJoins(view, now, &actions);
+  internal::PlanRefresh(view, now, &actions);
+  return actions;
+}
+
+void AcknowledgeHeartbeat(MemberView* view, const MemberIdentity& member,
+                          std::uint64_t records_up_to) {
+  Member* known = internal::FindIncarnation(view, member);
+  if (known == nullptr) return;
+  known->acknowledged_records =
+      std::max(known->acknowledged_records, records_up_to);
+}
+
+std::vector<MemberRecord> ListMembers(const MemberView& view, bool leaving) {
+  std::vector<MemberRecord> records = {{view.self, leaving}};
+  for (const auto& [vm, member] : view.members) {
+    if (member.state == MemberState::kDown) continue;
+    records.push_back({member.identity, member.leaving});
+  }
+  return records;
+}
+
+bool AddSuccession(MemberView* view, const SuccessionRecord& record,
+                   TimePoint now) {
+  if (record.ended == record.successor.incarnation ||
+      record.age >= view->policy.succession_retention ||
+      view->succession.contains(record.ended)) {
+    return false;
+  }
+  const auto last = FindSuccessor(*view, record.successor.incarnation, now);
+  if (last.has_value() && last->incarnation == record.ended) return false;
+  view->succession[record.ended] = {record.successor, now - record.age, now,
+                                    ++view->last_record_number};
+  return true;
+}
+
+std::vector<SuccessionRecord> ListSuccession(const MemberView& view,
+                                             TimePoint now) {
+  std::vector<SuccessionRecord> records;
+  for (const auto& [ended, known] : view.succession) {
+    records.push_back(internal::ToRecord(ended, known, now));
+  }
+  return records;
+}
+
+std::optional<MemberIdentity> FindSuccessor(const MemberView& view,
+                                            Incarnation ended, TimePoint now) {
+  std::optional<MemberIdentity> found;
+  std::set<Incarnation> visited;
+  while (visited.insert(ended).second) {
+    const auto it = view.succession.find(ended);
+    if (it == view.succession.end() ||
+        now - it->second.handed_over_at >= view.policy.succession_retention) {
+      return found;
+    }
+    found = it->second.successor;
+    ended = found->incarnation;
+  }
+  return std::nullopt;  // A cycle; AddSuccession should have refused it.
+}
+
+}  // namespace sequoiapath
--- /dev/null
+++ b/packages/fakes/tcp_relay.cc
@@ -0,0 +1,360 @@
+// A TCP relay for fault tests. It forwards connections to one target and can
+// delay, drop or cut them. Control calls (plain HTTP on the control port):
+//   /pass                      forward; connections that lost bytes stay silent
+//   /blackhole?scope=existing  drop all bytes of the open connections
+//   /blackhole?scope=all       the same for new connections too
+//   /cut                       reset the open connections
+//   /delay?ms=N                delay bytes by N ms in each direction
+// Each answers with the number of open connections.
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <h2o.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <popt.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <charconv>
+#include <csignal>
+#include <cstdint>
+#include <cstdio>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "sequoiapath/transport/endpoint.h"
+#include "sequoiapath/transport/event_loop.h"
+#include "sequoiapath/transport/http_server.h"
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+constexpr int kListenBacklog = 256;
+// Reading stops while this much waits for the other side.
+constexpr std::size_t kMaxQueuedBytes = 4 << 20;
+
+struct Relay;
+struct Link;
+
+struct Chunk {
+  TimePoint due;
+  std::string bytes;
+};
+
+// One of the two sockets of a link and the bytes that wait to be written to it.
+struct Side {
+  Link* link = nullptr;
+  Side* other = nullptr;
+  h2o_socket_t* socket = nullptr;
+  bool connected = false;
+  bool writing = false;
+  // True once the other side has ended: to be closed after the last byte.
+  bool ending = false;
+  std::deque<Chunk> queue;
+  std::size_t queued_bytes = 0;
+};
+
+// An accepted connection and its connection to the target.
+struct Link {
+  Relay* relay = nullptr;
+  std::uint64_t id = 0;
+  bool blackholed = false;
+  // True once bytes were dropped: the stream cannot be resumed.
+  bool lost_bytes = false;
+  Side accepted;
+  Side target;
+};
+
+struct Relay {
+  EventLoop* loop = nullptr;
+  Endpoint target;
+  Duration delay{};
+  bool blackhole_new = false;
+  std::uint64_t next_id = 1;
+  std::map<std::uint64_t, std::unique_ptr<Link>> links;
+};
+
+void CloseSide(Side* side, bool reset) {
+  if (side->socket == nullptr) return;
+  if (reset) {
+    const linger discard{.l_onoff = 1, .l_linger = 0};
+    setsockopt(h2o_socket_get_fd(side->socket), SOL_SOCKET, SO_LINGER, &discard,
+               sizeof(discard));
+  }
+  h2o_socket_close(side->socket);
+  side->socket = nullptr;
+}
+
+// Closes both sockets; the link is gone on return.
+void CloseLink(Link* link, bool reset) {
+  CloseSide(&link->accepted, reset);
+  CloseSide(&link->target, reset);
+  link->relay->links.erase(link->id);
+}
+
+void OnRead(h2o_socket_t* socket, const char* error);
+
+void ResumeReading(Side* side) {
+  if (side->socket != nullptr && side->connected &&
+      !h2o_socket_is_reading(side->socket)) {
+    h2o_socket_read_start(side->socket, OnRead);
+  }
+}
+
+// Writes the bytes that are due, then closes the link if its other side ended.
+// The link may be gone on return.
+void Flush(Side* side);
+
+void OnWritten(h2o_socket_t* socket, const char* error) {
+  auto* side = static_cast<Side*>(socket->data);
+  side->writing = false;
+  if (error != nullptr) {
+    CloseLink(side->link, /*reset=*/true);
+    return;
+  }
+  side->queued_bytes -= side->queue.front().bytes.size();
+  side->queue.pop_front();
+  if (side->queued_bytes < kMaxQueuedBytes) ResumeReading(side->other);
+  Flush(side);
+}
+
+void FlushLater(Side* side, Duration delay) {
+  Relay* relay = side->link->relay;
+  relay->loop->Schedule(delay, [relay, id = side->link->id, side] {
+    if (relay->links.contains(id)) Flush(side);
+  });
+}
+
+void Flush(Side* side) {
+  if (!side->connected || side->writing || side->socket == nullptr) return;
+  if (side->queue.empty()) {
+    if (side->ending) CloseLink(side->link, /*reset=*/false);
+    return;
+  }
+  Chunk& chunk = side->queue.front();
+  const TimePoint now = side->link->relay->loop->Now();
+  if (chunk.due > now) {
+    FlushLater(side, chunk.due - now);
+    return;
+  }
+  side->writing = true;
+  h2o_iovec_t buffer = h2o_iovec_init(chunk.bytes.data(), chunk.bytes.size());
+  h2o_socket_write(side->socket, &buffer, 1, OnWritten);
+}
+
+// A blackholed link hides the end of one side from the other.
+void OnEnd(Side* side) {
+  if (side->link->blackholed) {
+    side->link->lost_bytes = true;
+    CloseSide(side, /*reset=*/false);
+    if (side->other->socket == nullptr) CloseLink(side->link, false);
+    return;
+  }
+  h2o_socket_read_stop(side->socket);
+  side->other->ending = true;
+  Flush(side->other);
+}
+
+void OnRead(h2o_socket_t* socket, const char* error) {
+  auto* side = static_cast<Side*>(socket->data);
+  if (error != nullptr) {
+    OnEnd(side);
+    return;
+  }
+  std::string bytes(socket->input->bytes, socket->input->size);
+  h2o_buffer_consume(&socket->input, socket->input->size);
+  Link* link = side->link;
+  if (link->blackholed) {
+    link->lost_bytes = true;
+    return;
+  }
+  Side* other = side->other;
+  other->queued_bytes += bytes.size();
+  other->queue.push_back(
+      {link->relay->loop->Now() + link->relay->delay, std::move(bytes)});
+  if (other->queued_bytes >= kMaxQueuedBytes) h2o_socket_read_stop(socket);
+  if (other->queue.size() == 1) Flush(other);
+}
+
+void StartSide(Side* side) {
+  const int on = 1;
+  setsockopt(h2o_socket_get_fd(side->socket), IPPROTO_TCP, TCP_NODELAY, &on,
+             sizeof(on));
+  side->connected = true;
+  h2o_socket_read_start(side->socket, OnRead);
+}
+
+void OnTargetConnect(h2o_socket_t* socket, const char* error) {
+  auto* side = static_cast<Side*>(socket->data);
+  if (error != nullptr) {
+    CloseLink(side->link, /*reset=*/true);
+    return;
+  }
+  StartSide(side);
+  Flush(side);
+}
+
+void OnAccept(h2o_socket_t* listener, const char* error) {
+  if (error != nullptr) return;
+  auto* relay = static_cast<Relay*>(listener->data);
+  h2o_socket_t* accepted = h2o_evloop_socket_accept(listener);
+  if (accepted == nullptr) return;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(relay->target.port);
+  inet_pton(AF_INET, relay->target.address.c_str(), &address.sin_addr);
+  h2o_socket_t* target = h2o_socket_connect(
+      relay->loop->native(), reinterpret_cast<sockaddr*>(&address),
+      sizeof(address), OnTargetConnect);
+  if (target == nullptr) {
+    h2o_socket_close(accepted);
+    return;
+  }
+  auto owned = std::make_unique<Link>();
+  Link* link = owned.get();
+  link->relay = relay;
+  link->id = relay->next_id++;
+  link->blackholed = relay->blackhole_new;
+  link->accepted = {link, &link->target, accepted, false, false, false, {}, 0};
+  link->target = {link, &link->accepted, target, false, false, false, {}, 0};
+  accepted->data = &link->accepted;
+  target->data = &link->target;
+  relay->links.emplace(link->id, std::move(owned));
+  StartSide(&link->accepted);
+}
+
+void SetBlackhole(Relay* relay, bool new_links) {
+  relay->blackhole_new = new_links;
+  for (auto& [id, link] : relay->links) link->blackholed = true;
+}
+
+void Pass(Relay* relay) {
+  relay->blackhole_new = false;
+  for (auto& [id, link] : relay->links) link->blackholed = link->lost_bytes;
+}
+
+void Cut(Relay* relay) {
+  while (!relay->links.empty()) {
+    CloseLink(relay->links.begin()->second.get(), /*reset=*/true);
+  }
+}
+
+std::optional<std::chrono::milliseconds> ParseDelay(std::string_view text) {
+  std::uint32_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, number);
+  if (result.ec != std::errc() || result.ptr != end) return std::nullopt;
+  return std::chrono::milliseconds(number);
+}
+
+// False if the call is unknown.
+bool Control(Relay* relay, std::string_view path) {
+  constexpr std::string_view kDelay = "/delay?ms=";
+  if (path == "/pass") {
+    Pass(relay);
+  } else if (path == "/blackhole?scope=existing") {
+    SetBlackhole(relay, false);
+  } else if (path == "/blackhole?scope=all" || path == "/blackhole") {
+    SetBlackhole(relay, true);
+  } else if (path == "/cut") {
+    Cut(relay);
+  } else if (path.starts_with(kDelay)) {
+    const auto delay = ParseDelay(path.substr(kDelay.size()));
+    if (!delay.has_value()) return false;
+    relay->delay = *delay;
+  } else {
+    return false;
+  }
+  return true;
+}
+
+// Returns false if the port cannot be bound.
+bool Listen(Relay* relay, std::uint16_t port) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
+      listen(fd, kListenBacklog) != 0) {
+    close(fd);
+    return false;
+  }
+  h2o_socket_t* listener = h2o_evloop_socket_create(relay->loop->native(), fd,
+                                                    H2O_SOCKET_FLAG_DONT_READ);
+  listener->data = relay;
+  h2o_socket_read_start(listener, OnAccept);
+  return true;
+}
+
+int Serve(std::uint16_t port, std::uint16_t control_port,
+          const Endpoint& target) {
+  std::signal(SIGPIPE, SIG_IGN);
+  EventLoop loop;
+  Relay relay;
+  relay.loop = &loop;
+  relay.target = target;
+  if (!Listen(&relay, port)) {
+    fmt::print(stderr, "tcp_relay: cannot listen on port {}\n", port);
+    return 1;
+  }
+  auto built = HttpServerBuilder(&loop)
+                   .Listen({"127.0.0.1", control_port})
+                   .Handler([&relay](const HttpRequest& request,
+                                     const HttpResponder& responder) {
+                     const bool known = Control(&relay, request.path);
+                     responder.Respond(
+                         {known ? 200 : 404,
+                          {},
+                          fmt::format("{} connections\n", relay.links.size())});
+                   })
+                   .Build();
+  if (const auto* error = std::get_if<ListenError>(&built)) {
+    fmt::print(stderr, "tcp_relay: {}\n", error->message);
+    return 1;
+  }
+  loop.Run();
+  return 0;
+}
+
+int Main(int argc, const char** argv) {
+  int port = 0;
+  int control_port = 0;
+  char* target = nullptr;
+  const poptOption options[] = {
+      {"port", 'p', POPT_ARG_INT, &port, 0, "port to listen on", "PORT"},
+      {"control-port", 'c', POPT_ARG_INT, &control_port, 0,
+       "port for control calls", "PORT"},
+      {"target", 't', POPT_ARG_STRING, &target, 0, "where to connect to",
+       "ADDRESS:PORT"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context = poptGetContext("tcp_relay", argc, argv, options, 0);
+  const int parsed = poptGetNextOpt(context);
+  poptFreeContext(context);
+  const auto endpoint = ParseEndpoint(target == nullptr ? "" : target);
+  if (parsed < -1 || !endpoint.has_value() || port <= 0 || control_port <= 0) {
+    fmt::print(stderr,
+               "tcp_relay: --port, --control-port and --target are needed\n");
+    return 2;
+  }
+  return Serve(static_cast<std::uint16_t>(port),
+               static_cast<std::uint16_t>(control_port), *endpoint);
+}
+
+}  // namespace
+}  // namespace internal
+}  // namespace sequoiapath
+
+int main(int argc, const char** argv) {
+  return sequoiapath::internal::Main(argc, argv);
+}
--- a/packages/protocol/include/sequoiapath/protocol/peer_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/peer_message.h
@@ -317,12 +317,26 @@
 };
 
 // Calls X(type) for each type that has a codec.
-#define SEQUOIAPATH_PEER_MESSAGES(X)                                        \
-  X(Heartbeat)                                                              \
-  X(HeartbeatReply)                                                         \
-  X(Join) X(JoinReply) X(Borrow) X(BorrowReply) X(Return) X(ReturnReply)    \
-      X(Forward) X(ForwardReply) X(Delegate) X(DelegateReply) X(ConfigPull) \
-          X(ConfigPullReply) X(Handover) X(HandoverReply) X(PeerRefusal)
+// clang-format off
+#define SEQUOIAPATH_PEER_MESSAGES(X) \
+  X(Heartbeat) \
+  X(HeartbeatReply) \
+  X(Join) \
+  X(JoinReply) \
+  X(Borrow) \
+  X(BorrowReply) \
+  X(Return) \
+  X(ReturnReply) \
+  X(Forward) \
+  X(ForwardReply) \
+  X(Delegate) \
+  X(DelegateReply) \
+  X(ConfigPull) \
+  X(ConfigPullReply) \
+  X(Handover) \
+  X(HandoverReply) \
+  X(PeerRefusal)
+// clang-format on
 
 // Returns the MessagePack form: an array of the fields in declaration order.
 // Defined for the types of SEQUOIAPATH_PEER_MESSAGES. Thread-safe.
--- /dev/null
+++ b/packages/state/include/sequoiapath/state/peer_service.h
@@ -0,0 +1,163 @@
+// Defines PeerService, which answers the messages of other daemons on the peer
+// port and sends messages to them.
+
+#ifndef SEQUOIAPATH_STATE_PEER_SERVICE_H_
+#define SEQUOIAPATH_STATE_PEER_SERVICE_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+
+#include "sequoiapath/protocol/peer_message.h"
+#include "sequoiapath/protocol/verdict.h"
+#include "sequoiapath/transport/event_loop.h"
+#include "sequoiapath/transport/http_server.h"
+#include "sequoiapath/transport/peer_client.h"
+
+namespace sequoiapath {
+
+// Returns the token that daemons with this cluster key present to each other.
+// Thread-safe.
+std::string DerivePeerToken(std::string_view cluster_key);
+
+// Ends one exchange; calls after the first have no effect.
+template <typename Reply>
+using PeerReplier = std::function<void(const Result<Reply>& result)>;
+
+// Answers requests of one type, at once or later.
+template <typename Request>
+using PeerHandler = std::function<void(
+    Request request, PeerReplier<typename Request::Reply> reply)>;
+
+// Exchanges messages with other daemons. A request without the cluster's token
+// is refused before its body is decoded. Thread safety: loop thread only.
+class PeerService {
+ public:
+  PeerService(const PeerService&) = delete;
+  PeerService& operator=(const PeerService&) = delete;
+
+  // Sets the function that answers requests of type `Request`; replaces an
+  // earlier one.
+  template <typename Request>
+  void Handle(PeerHandler<Request> handler);
+
+  // Sends `request` and calls `callback` exactly once, never before Send
+  // returns. A failure's verdict is kNotRun if surely no byte was written or if
+  // the peer said so, and kMayHaveRun if the outcome is unknown.
+  template <typename Request>
+  void Send(const Endpoint& endpoint, const Request& request, Duration timeout,
+            std::function<void(Result<typename Request::Reply>)> callback);
+
+  // Returns the bound endpoint, with the real port if zero was asked for.
+  const Endpoint& endpoint() const;
+
+  // Closes the listening socket and tells peers to finish their connections.
+  void BeginStop();
+
+  // Returns the number of requests of peers that were not answered yet.
+  std::size_t PendingRequests() const;
+
+ private:
+  friend class PeerServiceBuilder;
+  using BodyHandler = std::function<void(std::string_view body,
+                                         const HttpResponder& responder)>;
+
+  PeerService(std::string token, std::unique_ptr<PeerClient> client);
+  void Dispatch(const HttpRequest& request,
+                const HttpResponder& responder) const;
+  void Post(const Endpoint& endpoint, std::string_view name, std::string body,
+            Duration timeout,
+            std::function<void(Result<std::string>)> callback);
+
+  std::string authorization;
+  std::unordered_map<std::string, BodyHandler> handlers;  // By path.
+  std::unique_ptr<PeerClient> client;
+  std::unique_ptr<HttpServer> server;
+};
+
+// Builds a PeerService.
+class PeerServiceBuilder {
+ public:
+  // Precondition: `loop` outlives the service.
+  explicit PeerServiceBuilder(EventLoop* loop);
+
+  // Sets the peer port; port zero picks a free one.
+  PeerServiceBuilder& Listen(Endpoint endpoint);
+
+  // Sets the key that all daemons of the cluster share.
+  PeerServiceBuilder& ClusterKey(std::string key);
+
+  // Sets how long a connection attempt to a peer may take.
+  PeerServiceBuilder& ConnectTimeout(Duration timeout);
+
+  // Binds the peer port. Preconditions: Listen and ClusterKey were called.
+  std::variant<std::unique_ptr<PeerService>, ListenError> Build();
+
+ private:
+  EventLoop* loop;
+  Endpoint listen_endpoint;
+  std::string cluster_key;
+  Duration connect_timeout = std::chrono::seconds(1);
+};
+
+namespace internal {
+
+void RespondToPeer(const HttpResponder& responder, std::string body);
+void RefusePeer(const HttpResponder& responder, const Failure& failure);
+// The failure of a request whose reply could not be read.
+Failure UnreadableReply(const Failure& cause);
+
+}  // namespace internal
+
+template <typename Request>
+void PeerService::Handle(PeerHandler<Request> handler) {
+  using Reply = typename Request::Reply;
+  this->handlers[std::string(kPeerPathPrefix) + std::string(Request::kName)] =
+      [handler = std::move(handler)](std::string_view body,
+                                     const HttpResponder& responder) {
+        Result<Request> request = DecodePeerMessage<Request>(body);
+        if (const Failure* failure = GetFailure(request)) {
+          internal::RefusePeer(responder, *failure);
+          return;
+        }
+        handler(std::get<Request>(std::move(request)),
+                [responder](const Result<Reply>& result) {
+                  if (const Failure* failure = GetFailure(result)) {
+                    internal::RefusePeer(responder, *failure);
+                  } else {
+                    internal::RespondToPeer(
+                        responder, EncodePeerMessage(std::get<Reply>(result)));
+                  }
+                });
+      };
+}
+
+template <typename Request>
+void PeerService::Send(
+    const Endpoint& endpoint, const Request& request, Duration timeout,
+    std::function<void(Result<typename Request::Reply>)> callback) {
+  using Reply = typename Request::Reply;
+  this->Post(endpoint, Request::kName, EncodePeerMessage(request), timeout,
+             [callback = std::move(callback)](Result<std::string> body) {
+               if (const Failure* failure = GetFailure(body)) {
+                 callback(*failure);
+                 return;
+               }
+               Result<Reply> reply =
+                   DecodePeerMessage<Reply>(std::get<std::string>(body));
+               if (const Failure* failure = GetFailure(reply)) {
+                 callback(internal::UnreadableReply(*failure));
+                 return;
+               }
+               callback(std::move(reply));
+             });
+}
+
+}  // namespace sequoiapath
+
+#endif  // SEQUOIAPATH_STATE_PEER_SERVICE_H_
--- a/packages/transport/src/peer_client.cc
+++ b/packages/transport/src/peer_client.cc
@@ -7,10 +7,9 @@
 #include <nghttp2/nghttp2.h>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
-#include <cstring>
 #include <map>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -42,6 +41,12 @@
   HttpCallback callback;
 };
 
+struct EndpointOrder {
+  bool operator()(const Endpoint& a, const Endpoint& b) const {
+    return std::tie(a.port, a.address) < std::tie(b.port, b.address);
+  }
+};
+
 struct PeerClientState {
   EventLoop* loop = nullptr;
   Duration connect_timeout{};
@@ -50,7 +55,9 @@
   std::size_t max_connections = 0;
   nghttp2_session_callbacks* callbacks = nullptr;
   // Newest last.
-  std::map<Endpoint, std::vector<std::unique_ptr<PeerConnection>>> connections;
+  std::map<Endpoint, std::vector<std::unique_ptr<PeerConnection>>,
+           EndpointOrder>
+      connections;
 };
 
 struct PeerConnection {
@@ -308,7 +315,7 @@
   PeerStream& stream = it->second;
   const std::size_t count =
       std::min(length, stream.call.body.size() - stream.body_offset);
-  std::memcpy(buffer, stream.call.body.data() + stream.body_offset, count);
+  std::copy_n(stream.call.body.data() + stream.body_offset, count, buffer);
   stream.body_offset += count;
   if (stream.body_offset == stream.call.body.size()) {
     *flags |= NGHTTP2_DATA_FLAG_EOF;
--- /dev/null
+++ b/tests/correctness/member_view_test.cc
@@ -0,0 +1,233 @@
+// Guards the member view: whom it contacts, whom it takes for down, and which
+// process it takes for the current one of a VM. Runs in virtual time.
+
+#include "sequoiapath/coordination/member_view.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+
+namespace sequoiapath {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto kTick = milliseconds(50);
+const TimePoint kStart = TimePoint(hours(1));
+
+MemberIdentity Identity(const std::string& data_centre, int index,
+                        Incarnation incarnation) {
+  return {data_centre,
+          data_centre + "-" + std::to_string(index),
+          {"10.0.0.1", static_cast<std::uint16_t>(1000 + index)},
+          incarnation};
+}
+
+MemberView ViewOf(std::vector<Endpoint> seeds = {}) {
+  return MakeMemberView(Identity("home", 0, 1), seeds);
+}
+
+// Plans in ticks; members for which `answers` holds answer at once. Returns the
+// number of heartbeats to each VM.
+std::map<std::string, int> RunPlans(
+    MemberView* view, TimePoint begin, Duration length,
+    const std::function<bool(const MemberIdentity&)>& answers) {
+  std::map<std::string, int> sent;
+  for (TimePoint now = begin; now < begin + length; now += kTick) {
+    for (const HeartbeatTarget& target : PlanHeartbeats(view, now).heartbeats) {
+      ++sent[target.member.vm];
+      if (!answers(target.member)) continue;
+      ObserveReply(view, target.member, false, now, now);
+      AcknowledgeHeartbeat(view, target.member, target.records_up_to);
+    }
+  }
+  return sent;
+}
+
+bool Always(const MemberIdentity& /*member*/) { return true; }
+bool Never(const MemberIdentity& /*member*/) { return false; }
+
+MemberState StateOf(const MemberView& view, const MemberIdentity& identity) {
+  return view.members.at(identity.vm).state;
+}
+
+TEST(MemberViewTest, SendsToTheWholeMeshAndToTwoContactsElsewhere) {
+  MemberView view = ViewOf();
+  for (int i = 1; i <= 4; ++i) {
+    ObserveRequest(&view, Identity("home", i, 10 + i), false, kStart);
+    ObserveRequest(&view, Identity("away", i, 20 + i), false, kStart);
+  }
+  const auto sent = RunPlans(&view, kStart, seconds(10), Always);
+  EXPECT_EQ(sent.size(), 6u);
+  for (const auto& [vm, count] : sent) {
+    EXPECT_EQ(count, vm.starts_with("home") ? 40 : 5) << vm;
+  }
+}
+
+// The control budget must hold in a data centre with more peers than the mesh
+// is designed for.
+TEST(MemberViewTest, HeartbeatRateIsBounded) {
+  MemberView view = ViewOf();
+  for (int i = 1; i <= 64; ++i) {
+    ObserveRequest(&view, Identity("home", i, 10 + i), false, kStart);
+  }
+  EXPECT_EQ(MeshInterval(view), seconds(1));
+  int total = 0;
+  for (const auto& [vm, count] : RunPlans(&view, kStart, seconds(10), Always)) {
+    total += count;
+  }
+  EXPECT_LE(total, 16 * 4 * 10 + 64);
+}
+
+TEST(MemberViewTest, SilentPeerBecomesSuspectThenDownThenLiveAgain) {
+  MemberView view = ViewOf();
+  const MemberIdentity peer = Identity("home", 1, 11);
+  ObserveRequest(&view, peer, false, kStart);
+  RunPlans(&view, kStart, milliseconds(950), Never);
+  EXPECT_EQ(StateOf(view, peer), MemberState::kLive);
+  RunPlans(&view, kStart + milliseconds(950), milliseconds(150), Never);
+  EXPECT_EQ(StateOf(view, peer), MemberState::kSuspect);
+  RunPlans(&view, kStart + milliseconds(1100), seconds(2), Never);
+  EXPECT_EQ(StateOf(view, peer), MemberState::kDown);
+  ObserveRequest(&view, peer, false, kStart + seconds(4));
+  PlanHeartbeats(&view, kStart + seconds(4));
+  EXPECT_EQ(StateOf(view, peer), MemberState::kLive);
+}
+
+// A process that was frozen must not take its own pause for its peers' silence.
+TEST(MemberViewTest, PauseOfThisProcessMarksNobodyDown) {
+  MemberView view = ViewOf();
+  const MemberIdentity peer = Identity("home", 1, 11);
+  const MemberIdentity dead = Identity("home", 2, 12);
+  ObserveRequest(&view, peer, false, kStart);
+  ObserveRequest(&view, dead, false, kStart);
+  RunPlans(&view, kStart, seconds(1), Always);
+  const TimePoint wake = kStart + seconds(60);
+  const MemberActions actions = PlanHeartbeats(&view, wake);
+  EXPECT_TRUE(actions.changes.empty());
+  EXPECT_EQ(actions.heartbeats.size(), 2u);
+  RunPlans(&view, wake + kTick, seconds(4),
+           [&](const MemberIdentity& member) { return member == peer; });
+  EXPECT_EQ(StateOf(view, peer), MemberState::kLive);
+  EXPECT_EQ(StateOf(view, dead), MemberState::kDown);
+}
+
+TEST(MemberViewTest, NewIncarnationReplacesTheOldOne) {
+  MemberView view = ViewOf();
+  const MemberIdentity old_process = Identity("home", 1, 11);
+  const MemberIdentity new_process = Identity("home", 1, 12);
+  EXPECT_EQ(ObserveRequest(&view, old_process, false, kStart), Sighting::kNew);
+  EXPECT_EQ(ObserveRequest(&view, new_process, false, kStart), Sighting::kNew);
+  EXPECT_EQ(ObserveRequest(&view, old_process, false, kStart + seconds(1)),
+            Sighting::kIgnored);
+  EXPECT_EQ(view.members.at(new_process.vm).identity, new_process);
+  LearnMembers(&view, Identity("home", 2, 13), {{old_process, false}},
+               kStart + seconds(2));
+  EXPECT_EQ(view.members.at(new_process.vm).identity, new_process);
+}
+
+// Incarnations have no order, so a delayed message of an ended process that was
+// not known before looks new. The reply of the running process must correct it.
+TEST(MemberViewTest, ReplyCorrectsADelayedMessage) {
+  MemberView view = ViewOf();
+  const MemberIdentity ended = Identity("home", 1, 11);
+  const MemberIdentity running = Identity("home", 1, 12);
+  ObserveRequest(&view, running, false, kStart);
+  ObserveRequest(&view, ended, false, kStart + seconds(1));
+  EXPECT_EQ(ObserveReply(&view, running, false, kStart, kStart + seconds(2)),
+            Sighting::kIgnored);
+  EXPECT_EQ(ObserveReply(&view, running, false, kStart + seconds(2),
+                         kStart + seconds(2)),
+            Sighting::kNew);
+  EXPECT_EQ(ObserveRequest(&view, ended, false, kStart + seconds(3)),
+            Sighting::kIgnored);
+}
+
+TEST(MemberViewTest, SeedsAreAskedUntilTheirProcessIsKnown) {
+  const MemberIdentity seed = Identity("home", 1, 11);
+  MemberView view =
+      ViewOf({seed.peer_endpoint, Identity("home", 0, 1).peer_endpoint});
+  EXPECT_EQ(PlanHeartbeats(&view, kStart).joins,
+            std::vector<Endpoint>{seed.peer_endpoint});
+  EXPECT_TRUE(PlanHeartbeats(&view, kStart + kTick).joins.empty());
+  EXPECT_EQ(PlanHeartbeats(&view, kStart + seconds(2)).joins.size(), 1u);
+  ObserveReply(&view, seed, false, kStart, kStart + seconds(2));
+  EXPECT_TRUE(PlanHeartbeats(&view, kStart + seconds(9)).joins.empty());
+}
+
+// A down contact must not cut this daemon off from the rest of its data centre.
+TEST(MemberViewTest, DownContactIsReplaced) {
+  MemberView view = ViewOf();
+  for (int i = 1; i <= 5; ++i) {
+    ObserveRequest(&view, Identity("away", i, 20 + i), false, kStart);
+  }
+  const auto first = RunPlans(&view, kStart, seconds(2), Always);
+  ASSERT_EQ(first.size(), 2u);
+  const std::string lost = first.begin()->first;
+  const auto alive = [&](const MemberIdentity& m) { return m.vm != lost; };
+  RunPlans(&view, kStart + seconds(2), seconds(6), alive);
+  const auto later = RunPlans(&view, kStart + seconds(8), seconds(4), alive);
+  EXPECT_EQ(later.size(), 2u);
+  EXPECT_FALSE(later.contains(lost));
+}
+
+// After a partition that took all members of a data centre down, its return
+// must be noticed without new seeds.
+TEST(MemberViewTest, LostDataCentreIsFoundAgain) {
+  MemberView view = ViewOf();
+  for (int i = 1; i <= 3; ++i) {
+    ObserveRequest(&view, Identity("away", i, 20 + i), false, kStart);
+  }
+  RunPlans(&view, kStart, hours(1), Never);
+  for (const auto& [vm, member] : view.members) {
+    EXPECT_EQ(member.state, MemberState::kDown) << vm;
+  }
+  EXPECT_FALSE(RunPlans(&view, kStart + hours(1), seconds(4), Always).empty());
+  PlanHeartbeats(&view, kStart + hours(1) + seconds(4));
+  EXPECT_TRUE(std::any_of(view.members.begin(), view.members.end(),
+                          [](const auto& entry) {
+                            return entry.second.state == MemberState::kLive;
+                          }));
+}
+
+TEST(MemberViewTest, SuccessionIsFollowedAndCyclesAreRefused) {
+  MemberView view = ViewOf();
+  const auto record = [](Incarnation ended, Incarnation successor) {
+    return SuccessionRecord{ended, Identity("home", 1, successor), {}};
+  };
+  EXPECT_TRUE(AddSuccession(&view, record(2, 3), kStart));
+  EXPECT_TRUE(AddSuccession(&view, record(3, 4), kStart));
+  EXPECT_FALSE(AddSuccession(&view, record(4, 2), kStart));
+  EXPECT_FALSE(AddSuccession(&view, record(5, 5), kStart));
+  EXPECT_EQ(FindSuccessor(view, 2, kStart)->incarnation, 4u);
+  EXPECT_FALSE(FindSuccessor(view, 9, kStart).has_value());
+  EXPECT_FALSE(FindSuccessor(view, 2, kStart + hours(24)).has_value());
+  PlanHeartbeats(&view, kStart + hours(24));
+  EXPECT_TRUE(view.succession.empty());
+}
+
+// Records must survive a lost heartbeat and must not be repeated for ever.
+TEST(MemberViewTest, SuccessionIsSentUntilAcknowledged) {
+  MemberView view = ViewOf();
+  ObserveRequest(&view, Identity("home", 1, 11), false, kStart);
+  AddSuccession(&view, {2, Identity("home", 3, 3), {}}, kStart);
+  const auto lost = PlanHeartbeats(&view, kStart).heartbeats;
+  const auto again =
+      PlanHeartbeats(&view, kStart + milliseconds(250)).heartbeats;
+  ASSERT_EQ(lost.size(), 1u);
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_EQ(lost[0].succession.size(), 1u);
+  EXPECT_EQ(again[0].succession.size(), 1u);
+  AcknowledgeHeartbeat(&view, again[0].member, again[0].records_up_to);
+  const auto after =
+      PlanHeartbeats(&view, kStart + milliseconds(500)).heartbeats;
+  ASSERT_EQ(after.size(), 1u);
+  EXPECT_TRUE(after[0].succession.empty());
+}
+
+}  // namespace
+}  // namespace sequoiapath
