Complete writes that timers started without waiting for events

Cause: h2o reports a finished write only after its poll, so a write from a timer callback kept the connection busy until another event or the 100 ms bound. Change: EventLoop polls without waiting in the turn after timers ran. Conclusion: each turn after a timer costs one more poll.

--- a/packages/transport/include/sequoiapath/transport/event_loop.h
+++ b/packages/transport/include/sequoiapath/transport/event_loop.h
@@ -61,6 +61,7 @@
   std::map<std::pair<TimePoint, TimerId>, std::function<void()>> timers;
   std::unordered_map<TimerId, TimePoint> timer_due;
   TimerId next_timer = 1;
+  bool timers_ran = false;  // In the previous turn.
   volatile bool stop_requested = false;
 };
 
--- a/packages/transport/src/event_loop.cc
+++ b/packages/transport/src/event_loop.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <utility>
 
 namespace sequoiapath {
 namespace internal {
@@ -49,6 +50,9 @@
     const Duration until_due = this->timers.begin()->first.first - this->Now();
     wait = std::clamp(until_due, Duration::zero(), max_wait);
   }
+  // A write that a timer started may be complete, and h2o reports that only
+  // after it has waited for events.
+  if (std::exchange(this->timers_ran, false)) wait = Duration::zero();
   // Rounds up: a shorter wait would spin until the timer is due.
   const auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(wait);
   h2o_evloop_run(this->loop, static_cast<std::int32_t>(wait_ms.count()));
@@ -60,6 +64,7 @@
   while (!this->timers.empty() && this->timers.begin()->first.first <= now) {
     auto node = this->timers.extract(this->timers.begin());
     this->timer_due.erase(node.key().second);
+    this->timers_ran = true;
     node.mapped()();
   }
 }
--- a/tests/correctness/member_view_test.cc
+++ b/tests/correctness/member_view_test.cc
@@ -27,7 +27,7 @@
           incarnation};
 }
 
-MemberView ViewOf(std::vector<Endpoint> seeds = {}) {
+MemberView ViewOf(const std::vector<Endpoint>& seeds = {}) {
   return MakeMemberView(Identity("home", 0, 1), seeds);
 }
 
--- a/tests/correctness/peer_client_test.cc
+++ b/tests/correctness/peer_client_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "loop_testing.h"
+#include "raw_listener.h"
 
 namespace sequoiapath {
 namespace {
@@ -107,14 +108,38 @@
   bool done = false;
   client->Call(server->endpoint(), {"/peer/slow", {}, ""}, seconds(5),
                [&](const HttpResult& result) {
-                 if (const auto* response = std::get_if<HttpResponse>(&result))
-                   body = response->body;
+                 const auto* response = std::get_if<HttpResponse>(&result);
+                 if (response != nullptr) body = response->body;
                  done = true;
                });
   ASSERT_TRUE(RunUntil(&loop, [&] { return done; }));
   EXPECT_EQ(body, "late");
 }
 
+// A write that is started from a timer completes in the loop's next turn. If
+// that turn waited for other events first, calls queued behind the write would
+// be late by up to 100 ms.
+TEST(PeerClientTest, WriteFromATimerCompletesWithoutOtherEvents) {
+  EventLoop loop;
+  RawListener silent;
+  const auto client = PeerClientBuilder(&loop).Build();
+  const auto call = [&] {
+    client->Call(silent.endpoint, {"/peer/x", {}, "x"}, seconds(60),
+                 [](const HttpResult&) {});
+  };
+  call();
+  RunFor(&loop, milliseconds(50));
+  bool called = false;
+  loop.Schedule(Duration::zero(), [&] {
+    call();
+    called = true;
+  });
+  while (!called) loop.RunOnce(milliseconds(5));
+  const TimePoint begin = loop.Now();
+  loop.RunOnce(seconds(1));
+  EXPECT_LT(loop.Now() - begin, milliseconds(500));
+}
+
 // A connection that the server closed while idle must be replaced on demand.
 TEST(PeerClientTest, ReconnectsAfterTheServerClosedAnIdleConnection) {
   EventLoop loop;
--- a/tests/raw_listener.h
+++ b/tests/raw_listener.h
@@ -4,6 +4,7 @@
 #define SEQUOIAPATH_TESTS_RAW_LISTENER_H_
 
 #include <arpa/inet.h>
+#include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -28,8 +29,8 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof(address);
     auto* generic = reinterpret_cast<sockaddr*>(&address);
-    bind(this->fd, generic, length);
-    listen(this->fd, 16);
+    EXPECT_EQ(bind(this->fd, generic, length), 0);
+    EXPECT_EQ(listen(this->fd, 16), 0);
     getsockname(this->fd, generic, &length);
     this->endpoint = {"127.0.0.1", ntohs(address.sin_port)};
   }
