Let the peer messages carry the shapes of the share ledger

Cause: the ledger owns whole workers and quota parts and lends slots with accelerators, while the borrow, return and heartbeat messages counted single units of three kinds.

Change: ShareStatus in the heartbeat, demands by placement and team, renewals in the borrow message, and the roster in the reply to a daemon with an older epoch. Counts are bounded, because the ledger computes with int.

--- a/packages/protocol/include/sequoiapath/protocol/peer_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/peer_message.h
@@ -44,28 +44,44 @@
                          const SuccessionRecord&) = default;
 };
 
-// What a unit is counted in.
-enum class ResourceKind {
-  kWorkerSlots = 0,
-  kWorkerAccelerators = 1,
-  kTeamQuota = 2,
+// The kinds of resource that are divided between daemons.
+enum class ResourceKind { kWorker = 0, kQuota = 1 };
+
+// A worker, or one part of a team's quota.
+struct ResourceName {
+  ResourceKind kind = ResourceKind::kWorker;
+  std::string name;  // Worker or team.
+  std::int64_t part = 0;
+
+  friend bool operator==(const ResourceName&, const ResourceName&) = default;
+};
+
+// Slots and accelerators of a worker; quota units are counted as slots.
+struct UnitCount {
+  std::int64_t slots = 0;
+  std::int64_t accelerators = 0;
+
+  friend bool operator==(const UnitCount&, const UnitCount&) = default;
 };
 
-// Units of one resource; `name` is a worker or a team.
-struct UnitAmount {
-  ResourceKind kind = ResourceKind::kWorkerSlots;
-  std::string name;
+struct QuotaCount {
+  std::string team;
   std::int64_t units = 0;
 
-  friend bool operator==(const UnitAmount&, const UnitAmount&) = default;
+  friend bool operator==(const QuotaCount&, const QuotaCount&) = default;
 };
 
-// Asks a borrower to give units of a loan back.
-struct LoanRecall {
-  std::uint64_t loan_id = 0;
-  std::vector<UnitAmount> amounts;
+// What a daemon says about the resources it owns, and about its load.
+struct ShareStatus {
+  std::uint64_t sequence = 0;  // Increases over all processes of the VM.
+  std::uint64_t roster_epoch = 0;
+  bool settling = false;
+  std::vector<ResourceName> unreleased;
+  UnitCount free;
+  std::vector<QuotaCount> free_quota;
+  std::uint64_t backlog = 0;  // Tasks that wait for a unit.
 
-  friend bool operator==(const LoanRecall&, const LoanRecall&) = default;
+  friend bool operator==(const ShareStatus&, const ShareStatus&) = default;
 };
 
 struct HeartbeatReply {
@@ -73,6 +89,8 @@
   bool leaving = false;
   std::uint64_t config_generation = 0;
   std::string config_digest;
+  // The roster in JSON; empty unless the heartbeat showed an older epoch.
+  std::string roster;
 
   friend bool operator==(const HeartbeatReply&,
                          const HeartbeatReply&) = default;
@@ -84,13 +102,10 @@
 
   MemberIdentity sender;
   bool leaving = false;
-  std::uint64_t roster_epoch = 0;
-  std::vector<std::string> unreleased_workers;
   std::uint64_t config_generation = 0;
   std::string config_digest;
-  std::vector<UnitAmount> free_units;
-  std::uint64_t backlog = 0;  // Tasks that wait for a unit.
-  std::vector<LoanRecall> recalls;
+  ShareStatus shares;
+  std::vector<std::uint64_t> recalls;  // Loans of the sender to the receiver.
   std::vector<SuccessionRecord> succession;
 
   friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
@@ -150,21 +165,21 @@
   friend bool operator==(const Join&, const Join&) = default;
 };
 
-// Units that a borrower needs.
+// Units that a borrower needs for tasks of equal placement and team.
 struct LoanDemand {
-  ResourceKind kind = ResourceKind::kWorkerSlots;
-  std::string name;  // Empty: any resource of the kind.
-  std::int64_t units = 0;
-  // Fewer units of one resource are of no use, because a task needs as many.
-  std::int64_t units_per_task = 1;
+  Demand demand;
   std::vector<std::string> places;  // Empty: anywhere.
+  std::int64_t worker_tasks = 0;    // Tasks that lack a worker.
+  std::string team;
+  std::int64_t quota_units = 0;  // Quota units that the team lacks.
 
   friend bool operator==(const LoanDemand&, const LoanDemand&) = default;
 };
 
 struct LoanGrant {
   std::uint64_t loan_id = 0;
-  std::vector<UnitAmount> amounts;
+  ResourceName resource;
+  UnitCount units;
   // The borrower counts from when it sent the request.
   std::chrono::milliseconds duration{0};
 
@@ -173,6 +188,8 @@
 
 struct BorrowReply {
   std::vector<LoanGrant> grants;
+  std::vector<std::uint64_t> renewed;  // Loans that were extended.
+  std::chrono::milliseconds renewal_duration{0};
 
   friend bool operator==(const BorrowReply&, const BorrowReply&) = default;
 };
@@ -181,24 +198,22 @@
   using Reply = BorrowReply;
   static constexpr std::string_view kName = "borrow";
 
-  std::uint64_t request_id = 0;
   MemberIdentity borrower;
-  std::uint64_t roster_epoch = 0;
+  Incarnation lender = 0;  // Another incarnation grants nothing.
   std::vector<LoanDemand> demands;
+  std::vector<std::uint64_t> renewals;  // Loans to extend.
 
   friend bool operator==(const Borrow&, const Borrow&) = default;
 };
 
-struct LoanReturn {
+struct ReturnedLoan {
   std::uint64_t loan_id = 0;
-  std::vector<UnitAmount> amounts;
+  UnitCount kept;  // What the borrower still uses.
 
-  friend bool operator==(const LoanReturn&, const LoanReturn&) = default;
+  friend bool operator==(const ReturnedLoan&, const ReturnedLoan&) = default;
 };
 
 struct ReturnReply {
-  std::uint64_t accepted = 0;  // Number of entries that the lender knew.
-
   friend bool operator==(const ReturnReply&, const ReturnReply&) = default;
 };
 
@@ -208,7 +223,7 @@
 
   MemberIdentity borrower;
   Incarnation lender = 0;  // Another incarnation ignores the message.
-  std::vector<LoanReturn> returns;
+  std::vector<ReturnedLoan> returns;
 
   friend bool operator==(const Return&, const Return&) = default;
 };
--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -29,31 +29,35 @@
 SEQUOIAPATH_FIELDS(MemberIdentity, m.data_centre, m.vm, m.peer_endpoint,
                    m.incarnation)
 SEQUOIAPATH_FIELDS(SuccessionRecord, m.ended, m.successor, m.age)
-SEQUOIAPATH_FIELDS(UnitAmount, m.kind, m.name, m.units)
-SEQUOIAPATH_FIELDS(LoanRecall, m.loan_id, m.amounts)
+SEQUOIAPATH_FIELDS(ResourceName, m.kind, m.name, m.part)
+SEQUOIAPATH_FIELDS(UnitCount, m.slots, m.accelerators)
+SEQUOIAPATH_FIELDS(QuotaCount, m.team, m.units)
+SEQUOIAPATH_FIELDS(ShareStatus, m.sequence, m.roster_epoch, m.settling,
+                   m.unreleased, m.free, m.free_quota, m.backlog)
 SEQUOIAPATH_FIELDS(HeartbeatReply, m.sender, m.leaving, m.config_generation,
-                   m.config_digest)
-SEQUOIAPATH_FIELDS(Heartbeat, m.sender, m.leaving, m.roster_epoch,
-                   m.unreleased_workers, m.config_generation, m.config_digest,
-                   m.free_units, m.backlog, m.recalls, m.succession)
+                   m.config_digest, m.roster)
+SEQUOIAPATH_FIELDS(Heartbeat, m.sender, m.leaving, m.config_generation,
+                   m.config_digest, m.shares, m.recalls, m.succession)
 SEQUOIAPATH_FIELDS(ConfigPull, m.generation, m.digest)
 SEQUOIAPATH_FIELDS(ConfigPullReply, m.generation, m.change_id, m.digest, m.form,
                    m.parts)
 SEQUOIAPATH_FIELDS(MemberRecord, m.identity, m.leaving)
 SEQUOIAPATH_FIELDS(Join, m.sender, m.config_generation)
 SEQUOIAPATH_FIELDS(JoinReply, m.sender, m.members, m.succession, m.config)
-SEQUOIAPATH_FIELDS(LoanDemand, m.kind, m.name, m.units, m.units_per_task,
-                   m.places)
-SEQUOIAPATH_FIELDS(LoanGrant, m.loan_id, m.amounts, m.duration)
-SEQUOIAPATH_FIELDS(Borrow, m.request_id, m.borrower, m.roster_epoch, m.demands)
-SEQUOIAPATH_FIELDS(BorrowReply, m.grants)
-SEQUOIAPATH_FIELDS(LoanReturn, m.loan_id, m.amounts)
+SEQUOIAPATH_FIELDS(Demand, m.cores, m.memory_mb, m.accelerators)
+SEQUOIAPATH_FIELDS(LoanDemand, m.demand, m.places, m.worker_tasks, m.team,
+                   m.quota_units)
+SEQUOIAPATH_FIELDS(LoanGrant, m.loan_id, m.resource, m.units, m.duration)
+SEQUOIAPATH_FIELDS(Borrow, m.borrower, m.lender, m.demands, m.renewals)
+SEQUOIAPATH_FIELDS(BorrowReply, m.grants, m.renewed, m.renewal_duration)
+SEQUOIAPATH_FIELDS(ReturnedLoan, m.loan_id, m.kept)
 SEQUOIAPATH_FIELDS(Return, m.borrower, m.lender, m.returns)
-SEQUOIAPATH_FIELDS(ReturnReply, m.accepted)
+[[maybe_unused]] std::tuple<> Fields(const ReturnReply& /*message*/) {
+  return {};
+}
 SEQUOIAPATH_FIELDS(Forward, m.action, m.session, m.sequence, m.body,
                    m.remaining)
 SEQUOIAPATH_FIELDS(ForwardReply, m.status, m.body)
-SEQUOIAPATH_FIELDS(Demand, m.cores, m.memory_mb, m.accelerators)
 SEQUOIAPATH_FIELDS(DelegatedTask, m.index, m.payload)
 SEQUOIAPATH_FIELDS(DelegatedResult, m.index, m.failure, m.body)
 SEQUOIAPATH_FIELDS(Delegate, m.sender, m.job_id, m.service, m.team, m.priority,
@@ -73,7 +77,7 @@
 
 // The greatest value of each enum that is encoded as a number.
 constexpr int MaxValue(ResourceKind /*kind*/) {
-  return static_cast<int>(ResourceKind::kTeamQuota);
+  return static_cast<int>(ResourceKind::kQuota);
 }
 constexpr int MaxValue(ConfigForm /*form*/) {
   return static_cast<int>(ConfigForm::kDocument);
@@ -164,9 +168,16 @@
 bool IsValid(const MemberIdentity& value) {
   return value.incarnation != 0 && !value.vm.empty();
 }
-bool IsValid(const UnitAmount& value) { return value.units >= 0; }
+// Larger counts would overflow the int arithmetic of the shares.
+constexpr std::int64_t kMaxUnits = 1'000'000'000;
+bool IsCount(std::int64_t value) { return value >= 0 && value <= kMaxUnits; }
+bool IsValid(const ResourceName& value) { return IsCount(value.part); }
+bool IsValid(const UnitCount& value) {
+  return IsCount(value.slots) && IsCount(value.accelerators);
+}
+bool IsValid(const QuotaCount& value) { return IsCount(value.units); }
 bool IsValid(const LoanDemand& value) {
-  return value.units >= 0 && value.units_per_task >= 1;
+  return IsCount(value.worker_tasks) && IsCount(value.quota_units);
 }
 bool IsValid(const Demand& value) {
   // The comparison also refuses a NaN.
--- a/tests/correctness/peer_service_test.cc
+++ b/tests/correctness/peer_service_test.cc
@@ -31,14 +31,14 @@
   const auto exchange = [&](PeerService* from, PeerService* to) {
     to->Handle<Heartbeat>([to](const Heartbeat& request,
                                const PeerReplier<HeartbeatReply>& reply) {
-      EXPECT_EQ(request.backlog, 7u);
+      EXPECT_EQ(request.shares.backlog, 7u);
       HeartbeatReply answer;
       answer.sender = IdentityOf(*to, 5);
       reply(answer);
     });
     Heartbeat request;
     request.sender = IdentityOf(*from, 4);
-    request.backlog = 7;
+    request.shares.backlog = 7;
     from->Send<Heartbeat>(
         to->endpoint(), request, seconds(5),
         [&, to](const Result<HeartbeatReply>& result) {
--- a/tests/fuzz/peer_message_test.cc
+++ b/tests/fuzz/peer_message_test.cc
@@ -23,11 +23,13 @@
   Heartbeat message;
   message.sender = Member(7);
   message.leaving = true;
-  message.roster_epoch = 1ull << 40;
-  message.unreleased_workers = {"w1", "w2"};
+  message.shares.roster_epoch = 1ull << 40;
+  message.shares.unreleased = {{ResourceKind::kWorker, "w1", 0},
+                               {ResourceKind::kQuota, "clerks", 31}};
   message.config_digest = std::string("\0\xff", 2);
-  message.free_units = {{ResourceKind::kTeamQuota, "clerks", 300}};
-  message.recalls = {{5, {{ResourceKind::kWorkerAccelerators, "w1", 1}}}};
+  message.shares.free = {8, 1};
+  message.shares.free_quota = {{"clerks", 300}};
+  message.recalls = {5, 6};
   message.succession = {{3, Member(4), std::chrono::milliseconds(70'000)}};
   return message;
 }
@@ -70,8 +72,12 @@
   ExpectRoundTrip(Forward{ForwardAction::kCancel, "s1.x", ~0ull, "{}",
                           std::chrono::milliseconds(1)});
   ExpectRoundTrip(BorrowReply{{{8,
-                                {{ResourceKind::kWorkerSlots, "w", 2}},
-                                std::chrono::milliseconds(2000)}}});
+                                {ResourceKind::kWorker, "w", 0},
+                                {2, 1},
+                                std::chrono::milliseconds(2000)}},
+                              {3, 4},
+                              std::chrono::milliseconds(2000)});
+  ExpectRoundTrip(ReturnReply{});
 }
 
 TEST(PeerMessageFuzz, OptionalFailureSurvives) {
@@ -161,9 +167,10 @@
   EXPECT_TRUE(refused([](Heartbeat* m) { m->sender.incarnation = 0; }));
   EXPECT_TRUE(refused(
       [](Heartbeat* m) { m->sender.peer_endpoint.address = "a host"; }));
-  EXPECT_TRUE(refused([](Heartbeat* m) { m->free_units[0].units = -1; }));
+  EXPECT_TRUE(refused([](Heartbeat* m) { m->shares.free.slots = -1; }));
+  EXPECT_TRUE(refused([](Heartbeat* m) { m->shares.free.slots = 1ll << 40; }));
   EXPECT_TRUE(refused([](Heartbeat* m) {
-    m->free_units[0].kind = static_cast<ResourceKind>(9);
+    m->shares.unreleased[0].kind = static_cast<ResourceKind>(9);
   }));
   EXPECT_TRUE(refused([](Heartbeat* m) {
     m->succession[0].age = std::chrono::hours(24 * 365);
