Add metrics, the late log and a bound on the log rate

Cause: operators could not see response times, refusals or which requests were late, and a repeating fault could write log lines without limit. Change: metrics (Boost.Accumulators quantiles over the last 5 to 10 minutes, exact up to 100 values, bounded labels), late_log (bounded in number and bytes), log_limiter (100 lines/s, burst 500, a reserve for errors, one line that counts the suppressed ones).

--- a/packages/state/include/sequoiapath/state/log.h
+++ b/packages/state/include/sequoiapath/state/log.h
@@ -27,10 +27,15 @@
 void SetLogLevel(LogLevel level);
 
 // Writes one line "time level event key=value ..." in a single write, so that
-// lines of several processes do not mix. Thread-safe.
+// lines of several processes do not mix. The rate is bounded: lines beyond it
+// are counted and reported in one line. Thread-safe.
 void Log(LogLevel level, std::string_view event,
          std::initializer_list<LogField> fields = {});
 
+// Reports suppressed lines, if any, in one line. Log does so too; a timer has
+// to call this where no further line may follow. Thread-safe.
+void ReportSuppressedLines();
+
 }  // namespace sequoiapath
 
 #endif  // SEQUOIAPATH_STATE_LOG_H_
--- /dev/null
+++ b/packages/state/include/sequoiapath/state/metrics.h
@@ -0,0 +1,129 @@
+// Defines Metrics, the daemon's counters, gauges and quantiles, and their
+// rendering in the Prometheus text form.
+
+#ifndef SEQUOIAPATH_STATE_METRICS_H_
+#define SEQUOIAPATH_STATE_METRICS_H_
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "sequoiapath/protocol/verdict.h"
+#include "sequoiapath/transport/event_loop.h"
+
+namespace sequoiapath {
+
+constexpr std::array<double, 4> kQuantiles{0.5, 0.9, 0.99, 0.999};
+constexpr std::size_t kVerdictCount = 3;
+constexpr std::size_t kReasonCount =
+    static_cast<std::size_t>(Reason::kWorkerSilent) + 1;
+
+// Up to this number of values a quantile is exact. The P-square markers start
+// at equal ranks, so their estimates of the first values are far off.
+constexpr std::size_t kExactValues = 100;
+
+using PSquareEstimator = boost::accumulators::accumulator_set<
+    double,
+    boost::accumulators::stats<boost::accumulators::tag::count,
+                               boost::accumulators::tag::extended_p_square>>;
+
+// The values of one window.
+struct QuantileEstimator {
+  QuantileEstimator();
+
+  PSquareEstimator p_square;
+  std::array<double, kExactValues> first_values{};
+};
+
+// A Prometheus summary: count and sum since the start, quantiles of the last
+// one to two windows. Each value goes to both estimators; at the end of a
+// window the older one, which is the one that is read, is replaced.
+struct Summary {
+  std::uint64_t count = 0;
+  double sum = 0;
+  TimePoint window_end;
+  QuantileEstimator older;
+  QuantileEstimator newer;
+};
+
+// Adds a value in constant time and without allocation, but for a replacement
+// at the end of a window.
+void Observe(Summary* summary, double value, TimePoint now);
+
+// Returns the estimate of kQuantiles[index], or NaN without recent values.
+// Precondition: `index` is below kQuantiles.size().
+double EstimateQuantile(const Summary& summary, std::size_t index);
+
+struct LabelLimits {
+  // Further labels share the label "other".
+  std::size_t max_labels = 256;
+  std::size_t max_label_bytes = 64;
+};
+
+// Counts of the jobs under one label.
+struct JobCounts {
+  std::uint64_t complete = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t late = 0;
+};
+
+// Values that are read when the metrics are rendered.
+struct Gauges {
+  std::size_t running_jobs = 0;
+  std::size_t waiting_tasks = 0;
+  std::uint64_t generation = 0;
+  std::uint64_t late_log_entries = 0;
+};
+
+// All metrics of a process; its size is bounded whatever the labels are.
+// Thread safety: one thread at a time.
+struct Metrics {
+  LabelLimits limits;
+  Summary response_seconds;
+  Summary response_over_ideal;
+  Summary wait_seconds;
+  Summary run_seconds;
+  Summary messages_per_task;
+  std::map<std::string, JobCounts, std::less<>> by_service;
+  std::map<std::string, JobCounts, std::less<>> by_team;
+  std::array<std::array<std::uint64_t, kReasonCount>, kVerdictCount> refusals{};
+  std::uint64_t tasks_started = 0;
+  std::uint64_t worker_messages = 0;
+  std::uint64_t peer_messages = 0;
+  std::uint64_t control_bytes_sent = 0;
+  std::uint64_t control_bytes_received = 0;
+};
+
+// What is counted of an answered job.
+struct JobMeasure {
+  std::string_view service;
+  std::string_view team;
+  Duration response_time{};
+  Duration ideal{};  // Zero if no task has ended.
+  std::uint64_t tasks = 0;
+  // Requests to workers and peers for the job, retries included.
+  std::uint64_t messages = 0;
+  bool late = false;
+  const Failure* failure = nullptr;  // Null if the answer was complete.
+};
+
+// Counts an answered job.
+void CountJob(Metrics* metrics, const JobMeasure& job, TimePoint now);
+
+// Counts a task that ended: its wait in the queue and its time at the worker.
+void CountTask(Metrics* metrics, Duration wait, Duration run_time,
+               TimePoint now);
+
+// Returns the Prometheus text form, version 0.0.4.
+std::string RenderMetrics(const Metrics& metrics, const Gauges& gauges);
+
+}  // namespace sequoiapath
+
+#endif  // SEQUOIAPATH_STATE_METRICS_H_
--- a/packages/state/src/log.cc
+++ b/packages/state/src/log.cc
@@ -6,6 +6,9 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <mutex>
+
+#include "sequoiapath/state/log_limiter.h"
 
 namespace sequoiapath {
 namespace internal {
@@ -13,6 +16,9 @@
 
 std::atomic<LogLevel> minimum_level{LogLevel::kInfo};
 
+std::mutex limiter_mutex;
+LogLimiter limiter;
+
 std::string_view LevelName(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -47,23 +53,17 @@
   return quoted + '"';
 }
 
-}  // namespace
-}  // namespace internal
-
-void SetLogLevel(LogLevel level) { internal::minimum_level = level; }
-
-void Log(LogLevel level, std::string_view event,
-         std::initializer_list<LogField> fields) {
-  if (level < internal::minimum_level) return;
+void WriteLine(LogLevel level, std::string_view event,
+               std::initializer_list<LogField> fields) {
   const auto now = std::chrono::floor<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
   const auto millis = now.time_since_epoch().count() % 1000;
   std::string line =
       fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event={}",
                   fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
-                  millis, internal::LevelName(level), event);
+                  millis, LevelName(level), event);
   for (const LogField& field : fields) {
-    line += fmt::format(" {}={}", field.key, internal::Quote(field.value));
+    line += fmt::format(" {}={}", field.key, Quote(field.value));
   }
   line += '\n';
   // A log line that cannot be written has nowhere else to go.
@@ -71,4 +71,35 @@
       write(STDERR_FILENO, line.data(), line.size());
 }
 
+}  // namespace
+}  // namespace internal
+
+void SetLogLevel(LogLevel level) { internal::minimum_level = level; }
+
+void Log(LogLevel level, std::string_view event,
+         std::initializer_list<LogField> fields) {
+  if (level < internal::minimum_level) return;
+  ReportSuppressedLines();
+  {
+    const std::lock_guard lock(internal::limiter_mutex);
+    if (!AdmitLine(&internal::limiter, level == LogLevel::kError,
+                   std::chrono::steady_clock::now())) {
+      return;
+    }
+  }
+  internal::WriteLine(level, event, fields);
+}
+
+void ReportSuppressedLines() {
+  std::uint64_t suppressed = 0;
+  {
+    const std::lock_guard lock(internal::limiter_mutex);
+    suppressed =
+        TakeSuppressed(&internal::limiter, std::chrono::steady_clock::now());
+  }
+  if (suppressed == 0) return;
+  internal::WriteLine(LogLevel::kWarning, "log_lines_suppressed",
+                      {{"lines", suppressed}});
+}
+
 }  // namespace sequoiapath
