Add the operator interface and the console

Cause: nothing listened on operator_listen, so an operator could not see the state of a daemon or change a team without the command line. Change: operator_api with /metrics, /v1/status, /v1/late and a console of HTML forms without script. The console acts through OperatorBackend. The HTTP server passes the host on, which the origin check needs. Conclusion: the store's side of OperatorBackend (propose, submit, history) is still to be connected in daemon.cc.

--- a/packages/state/src/daemon.cc
+++ b/packages/state/src/daemon.cc
@@ -2,13 +2,17 @@
 
 #include <fmt/format.h>
 
+#include <optional>
 #include <random>
 #include <utility>
 
 #include "sequoiapath/coordination/catalog.h"
 #include "sequoiapath/state/caller_api.h"
 #include "sequoiapath/state/job_runner.h"
+#include "sequoiapath/state/late_log.h"
 #include "sequoiapath/state/log.h"
+#include "sequoiapath/state/metrics.h"
+#include "sequoiapath/state/operator_api.h"
 #include "sequoiapath/state/store_client.h"
 #include "sequoiapath/transport/http_server.h"
 
@@ -17,6 +21,7 @@
 
 constexpr auto kStoreTimeout = std::chrono::seconds(2);
 constexpr auto kStorePollInterval = std::chrono::seconds(1);
+constexpr auto kLogReportInterval = std::chrono::seconds(1);
 constexpr auto kStopPollInterval = std::chrono::milliseconds(20);
 constexpr const char* kConfigKey = "/sequoiapath/config";
 
@@ -42,6 +47,11 @@
   CallerApi caller_api;
   StoreClient store;
   std::unique_ptr<HttpServer> caller_server;
+  Metrics metrics;
+  LateLog late_log;
+  std::shared_ptr<const Catalog> catalog;
+  std::unique_ptr<OperatorApi> operator_api;
+  std::unique_ptr<HttpServer> operator_server;
   std::uint64_t generation = 0;
   bool stopping = false;
 };
@@ -61,6 +71,7 @@
   const auto catalog = MakeCatalog(record, std::move(*document));
   daemon->runner.SetCatalog(catalog);
   daemon->caller_api.SetCatalog(catalog);
+  daemon->catalog = catalog;
   Log(LogLevel::kInfo, "config_in_force",
       {{"generation", record.generation}, {"change_id", record.change_id}});
 }
@@ -88,6 +99,57 @@
   });
 }
 
+DaemonStatus StatusOf(const DaemonState& daemon) {
+  return {daemon.settings.vm,
+          daemon.settings.data_centre,
+          daemon.incarnation,
+          daemon.generation,
+          daemon.catalog == nullptr ? "" : daemon.catalog->digest,
+          daemon.runner.RunningJobs(),
+          daemon.runner.WaitingTasks(),
+          daemon.stopping};
+}
+
+OperatorBackend BackendOf(DaemonState* daemon) {
+  OperatorBackend backend;
+  backend.status = [daemon] { return StatusOf(*daemon); };
+  backend.late = [daemon] { return &daemon->late_log; };
+  backend.current = [daemon] { return daemon->catalog; };
+  backend.metrics = [daemon] {
+    return RenderMetrics(
+        daemon->metrics,
+        {daemon->runner.RunningJobs(), daemon->runner.WaitingTasks(),
+         daemon->generation, daemon->late_log.entries.size()});
+  };
+  return backend;
+}
+
+// Serves operators; returns an error message if the socket cannot be bound.
+std::optional<std::string> ServeOperators(DaemonState* daemon) {
+  daemon->operator_api = std::make_unique<OperatorApi>(
+      daemon->settings.operator_token, BackendOf(daemon));
+  auto server = HttpServerBuilder(daemon->loop)
+                    .Listen(daemon->settings.operator_listen)
+                    .MaxBodySize(kMaxOperatorRequestBytes)
+                    .Handler([daemon](const HttpRequest& request,
+                                      const HttpResponder& responder) {
+                      daemon->operator_api->Handle(request, responder);
+                    })
+                    .Build();
+  if (const auto* error = std::get_if<ListenError>(&server)) {
+    return error->message;
+  }
+  daemon->operator_server =
+      std::get<std::unique_ptr<HttpServer>>(std::move(server));
+  return std::nullopt;
+}
+
+void ReportLogPeriodically(DaemonState* daemon) {
+  ReportSuppressedLines();
+  daemon->loop->Schedule(kLogReportInterval,
+                         [daemon] { ReportLogPeriodically(daemon); });
+}
+
 void PollStop(DaemonState* daemon, TimePoint give_up) {
   const bool drained = daemon->runner.RunningJobs() == 0 &&
                        daemon->caller_server->PendingRequests() == 0;
@@ -142,6 +204,8 @@
   }
   daemon->caller_server =
       std::get<std::unique_ptr<HttpServer>>(std::move(server));
+  if (auto error = internal::ServeOperators(daemon)) return *std::move(error);
+  internal::ReportLogPeriodically(daemon);
   internal::PollConfig(daemon);
   return std::unique_ptr<Daemon>(new Daemon(std::move(state)));
 }
--- a/packages/state/src/metrics.cc
+++ b/packages/state/src/metrics.cc
@@ -103,12 +103,11 @@
   AddHead(text, name, "counter", "Answered jobs by outcome.");
   auto out = std::back_inserter(*text);
   for (const auto& [label, counts] : labelled) {
-    const auto add = [&](std::string_view outcome, std::uint64_t value) {
-      fmt::format_to(out, "{}{{{}=\"{}\",outcome=\"{}\"}} {}\n", name,
-                     label_name, EscapeLabel(label), outcome, value);
-    };
-    add("complete", counts.complete);
-    add("failed", counts.failed);
+    fmt::format_to(out,
+                   "{0}{{{1}=\"{2}\",outcome=\"complete\"}} {3}\n"
+                   "{0}{{{1}=\"{2}\",outcome=\"failed\"}} {4}\n",
+                   name, label_name, EscapeLabel(label), counts.complete,
+                   counts.failed);
   }
   const std::string late = fmt::format("sequoiapath_{}_late_total", label_name);
   AddHead(text, late, "counter", "Jobs answered later than their limit.");
--- a/packages/transport/src/http_server.cc
+++ b/packages/transport/src/http_server.cc
@@ -91,7 +91,9 @@
   result.path = ToString(request->path);
   result.remote_address = RemoteAddress(request);
   if (request->entity.base != nullptr) result.body = ToString(request->entity);
-  result.headers.reserve(request->headers.size);
+  result.headers.reserve(request->headers.size + 1);
+  // h2o keeps the host apart from the other headers.
+  result.headers.push_back({"host", ToString(request->authority)});
   for (std::size_t i = 0; i < request->headers.size; ++i) {
     const h2o_header_t& header = request->headers.entries[i];
     result.headers.push_back({ToString(*header.name), ToString(header.value)});
