Add status, late and load to the command

Cause: response times relative to the ideal could not be measured, and the state of several daemons could not be read at once. The console's buttons stand below their fields (seen in headless Chromium).

--- a/packages/cli/command.h
+++ b/packages/cli/command.h
@@ -15,6 +15,9 @@
 // Each runs one subcommand; argv[0] is the subcommand's name.
 int RunSubmit(int argc, const char** argv);
 int RunApply(int argc, const char** argv);
+int RunStatus(int argc, const char** argv);
+int RunLate(int argc, const char** argv);
+int RunLoad(int argc, const char** argv);
 
 }  // namespace sequoiapath
 
--- a/packages/cli/main.cc
+++ b/packages/cli/main.cc
@@ -17,9 +17,12 @@
   int (*run)(int argc, const char** argv);
 };
 
-constexpr std::array<Command, 2> kCommands{{
+constexpr std::array<Command, 5> kCommands{{
     {"submit", "submit a job and print its answer", RunSubmit},
     {"apply", "put a configuration file in force", RunApply},
+    {"status", "print the state of daemons", RunStatus},
+    {"late", "print late and failed requests", RunLate},
+    {"load", "generate load and measure the answers", RunLoad},
 }};
 
 void PrintUsage(std::FILE* stream) {
--- a/packages/state/src/html.cc
+++ b/packages/state/src/html.cc
@@ -19,7 +19,7 @@
 
 constexpr std::string_view kStyleSheet = R"(
 :root { color-scheme: light dark; }
-body { font: 1rem/1.5 system-ui, sans-serif; margin: 0 auto; max-width: 76rem;
+body { font: 1rem/1.5 system-ui, sans-serif; margin: 0 auto; max-width: 90rem;
   padding: 0 1rem 2rem; }
 header { border-bottom: 1px solid #888; padding: .5rem 0; }
 header p { margin: 0; font-weight: bold; }
@@ -36,7 +36,7 @@
 form { margin: 1rem 0; }
 label { display: block; margin: .75rem 0 .25rem; }
 input, button { font: inherit; padding: .3rem .6rem; }
-input { width: min(100%, 24rem); box-sizing: border-box; }
+input { display: block; width: min(100%, 24rem); box-sizing: border-box; }
 button { margin: 1rem .5rem 0 0; }
 .inline button { margin: 0; }
 :focus-visible { outline: 3px solid #36c; outline-offset: 2px; }
--- a/packages/state/src/operator_api.cc
+++ b/packages/state/src/operator_api.cc
@@ -63,7 +63,8 @@
 Form QueryOf(const HttpRequest& request) {
   const std::size_t mark = request.path.find('?');
   if (mark == std::string::npos) return {};
-  return ParseForm(std::string_view(request.path).substr(mark + 1));
+  const std::string_view path = request.path;
+  return ParseForm(path.substr(mark + 1));
 }
 
 bool IsRead(const HttpRequest& request) {
--- a/packages/state/src/operator_auth.cc
+++ b/packages/state/src/operator_auth.cc
@@ -26,8 +26,9 @@
        reinterpret_cast<const unsigned char*>(text.data()), text.size(),
        mac.data(), &length);
   std::string hex;
-  for (unsigned int i = 0; i < length; ++i)
+  for (unsigned int i = 0; i < length; ++i) {
     hex += fmt::format("{:02x}", mac[i]);
+  }
   return hex;
 }
 
