--- a/packages/state/include/sequoiapath/state/settings.h
+++ b/packages/state/include/sequoiapath/state/settings.h
@@ -40,6 +40,17 @@
 
 using SettingsErrors = std::vector<SettingsError>;
 
+// One key of the settings file as the parser reads it, in words.
+struct SettingRule {
+  std::string key;
+  std::string type;
+  std::string default_value;  // "required" if there is none.
+  std::string range;
+};
+
+// Returns the rules of all keys, in the order of docs/settings.md. Thread-safe.
+std::vector<SettingRule> SettingRules();
+
 // Parses and checks the TOML text. Reports every error; unknown keys are
 // errors. Thread-safe.
 std::variant<Settings, SettingsErrors> ParseSettings(std::string_view text);
--- a/packages/state/src/settings.cc
+++ b/packages/state/src/settings.cc
@@ -23,10 +23,17 @@
 using Reader = std::function<std::optional<std::string>(const toml::node& node,
                                                         Settings* settings)>;
 
+// The value that a key accepts: its check and the words for it.
+struct ValueRule {
+  std::string type;
+  std::string range;
+  Reader read;
+};
+
 struct KeyRule {
   std::string_view key;
-  bool required;
-  Reader read;
+  std::string default_value;  // Empty: the key is required.
+  ValueRule value;
 };
 
 bool IsName(std::string_view text) {
@@ -35,29 +42,31 @@
   });
 }
 
-Reader ReadName(std::string Settings::*member) {
-  return [member](const toml::node& node,
-                  Settings* settings) -> std::optional<std::string> {
-    const auto text = node.value_exact<std::string>();
-    if (!text || !IsName(*text)) {
-      return "expected a name of lower-case letters, digits and '-'";
-    }
-    settings->*member = *text;
-    return std::nullopt;
-  };
+ValueRule ReadName(std::string Settings::*member) {
+  return {"string", "lower-case letters, digits and '-'",
+          [member](const toml::node& node,
+                   Settings* settings) -> std::optional<std::string> {
+            const auto text = node.value_exact<std::string>();
+            if (!text || !IsName(*text)) {
+              return "expected a name of lower-case letters, digits and '-'";
+            }
+            settings->*member = *text;
+            return std::nullopt;
+          }};
 }
 
-Reader ReadSecret(std::string Settings::*member) {
-  return [member](const toml::node& node,
-                  Settings* settings) -> std::optional<std::string> {
-    const auto text = node.value_exact<std::string>();
-    if (!text || text->size() < kMinSecretLength) {
-      return fmt::format("expected a string of at least {} characters",
-                         kMinSecretLength);
-    }
-    settings->*member = *text;
-    return std::nullopt;
-  };
+ValueRule ReadSecret(std::string Settings::*member) {
+  return {"string", fmt::format("at least {} characters", kMinSecretLength),
+          [member](const toml::node& node,
+                   Settings* settings) -> std::optional<std::string> {
+            const auto text = node.value_exact<std::string>();
+            if (!text || text->size() < kMinSecretLength) {
+              return fmt::format("expected a string of at least {} characters",
+                                 kMinSecretLength);
+            }
+            settings->*member = *text;
+            return std::nullopt;
+          }};
 }
 
 std::optional<Endpoint> ReadEndpointText(const toml::node& node) {
@@ -65,44 +74,49 @@
   return text ? ParseEndpoint(*text) : std::nullopt;
 }
 
-Reader ReadEndpoint(Endpoint Settings::*member) {
-  return [member](const toml::node& node,
-                  Settings* settings) -> std::optional<std::string> {
-    const auto endpoint = ReadEndpointText(node);
-    if (!endpoint) return "expected \"IPv4 address:port\"";
-    settings->*member = *endpoint;
-    return std::nullopt;
-  };
+ValueRule ReadEndpoint(Endpoint Settings::*member) {
+  return {"string", "IPv4 address:port",
+          [member](const toml::node& node,
+                   Settings* settings) -> std::optional<std::string> {
+            const auto endpoint = ReadEndpointText(node);
+            if (!endpoint) return "expected \"IPv4 address:port\"";
+            settings->*member = *endpoint;
+            return std::nullopt;
+          }};
 }
 
-Reader ReadEndpoints(std::vector<Endpoint> Settings::*member) {
-  return [member](const toml::node& node,
-                  Settings* settings) -> std::optional<std::string> {
-    constexpr auto kError = "expected an array of \"IPv4 address:port\"";
-    const toml::array* array = node.as_array();
-    if (array == nullptr) return kError;
-    for (const toml::node& element : *array) {
-      const auto endpoint = ReadEndpointText(element);
-      if (!endpoint) return kError;
-      (settings->*member).push_back(*endpoint);
-    }
-    return std::nullopt;
-  };
+ValueRule ReadEndpoints(std::vector<Endpoint> Settings::*member) {
+  return {"array of strings", "IPv4 address:port each",
+          [member](const toml::node& node,
+                   Settings* settings) -> std::optional<std::string> {
+            constexpr auto kError =
+                "expected an array of \"IPv4 address:port\"";
+            const toml::array* array = node.as_array();
+            if (array == nullptr) return kError;
+            for (const toml::node& element : *array) {
+              const auto endpoint = ReadEndpointText(element);
+              if (!endpoint) return kError;
+              (settings->*member).push_back(*endpoint);
+            }
+            return std::nullopt;
+          }};
 }
 
 // Reads a whole number from `low` to `high` and passes it to `store`.
-Reader ReadNumber(std::int64_t low, std::int64_t high,
-                  std::function<void(Settings*, std::int64_t)> store) {
-  return [low, high, store = std::move(store)](
-             const toml::node& node,
-             Settings* settings) -> std::optional<std::string> {
-    const auto number = node.value_exact<std::int64_t>();
-    if (!number || *number < low || *number > high) {
-      return fmt::format("expected a whole number from {} to {}", low, high);
-    }
-    store(settings, *number);
-    return std::nullopt;
-  };
+ValueRule ReadNumber(std::int64_t low, std::int64_t high,
+                     std::function<void(Settings*, std::int64_t)> store) {
+  return {"integer", fmt::format("{} to {}", low, high),
+          [low, high, store = std::move(store)](
+              const toml::node& node,
+              Settings* settings) -> std::optional<std::string> {
+            const auto number = node.value_exact<std::int64_t>();
+            if (!number || *number < low || *number > high) {
+              return fmt::format("expected a whole number from {} to {}", low,
+                                 high);
+            }
+            store(settings, *number);
+            return std::nullopt;
+          }};
 }
 
 std::optional<std::string> ReadLogLevel(const toml::node& node,
@@ -124,34 +138,37 @@
 }
 
 const std::vector<KeyRule>& KeyRules() {
+  static const Settings defaults;
   static const auto& rules = *new std::vector<KeyRule>{
-      {"data_centre", true, ReadName(&Settings::data_centre)},
-      {"vm", true, ReadName(&Settings::vm)},
-      {"caller_listen", true, ReadEndpoint(&Settings::caller_listen)},
-      {"peer_listen", true, ReadEndpoint(&Settings::peer_listen)},
-      {"operator_listen", true, ReadEndpoint(&Settings::operator_listen)},
-      {"stores", true, ReadEndpoints(&Settings::stores)},
-      {"seeds", false, ReadEndpoints(&Settings::seeds)},
-      {"cluster_key", true, ReadSecret(&Settings::cluster_key)},
-      {"operator_token", true, ReadSecret(&Settings::operator_token)},
-      {"stop_timeout_ms", false,
+      {"data_centre", "", ReadName(&Settings::data_centre)},
+      {"vm", "", ReadName(&Settings::vm)},
+      {"caller_listen", "", ReadEndpoint(&Settings::caller_listen)},
+      {"peer_listen", "", ReadEndpoint(&Settings::peer_listen)},
+      {"operator_listen", "", ReadEndpoint(&Settings::operator_listen)},
+      {"stores", "", ReadEndpoints(&Settings::stores)},
+      {"seeds", "[]", ReadEndpoints(&Settings::seeds)},
+      {"cluster_key", "", ReadSecret(&Settings::cluster_key)},
+      {"operator_token", "", ReadSecret(&Settings::operator_token)},
+      {"stop_timeout_ms", fmt::format("{}", defaults.stop_timeout.count()),
        ReadNumber(1, kMaxStopTimeoutMs,
                   [](Settings* settings, std::int64_t value) {
                     settings->stop_timeout = std::chrono::milliseconds(value);
                   })},
-      {"max_waiting_tasks", false,
+      {"max_waiting_tasks", fmt::format("{}", defaults.max_waiting_tasks),
        ReadNumber(1, kMaxWaitingTasks,
                   [](Settings* settings, std::int64_t value) {
                     settings->max_waiting_tasks =
                         static_cast<std::size_t>(value);
                   })},
-      {"max_request_bytes", false,
+      {"max_request_bytes", fmt::format("{}", defaults.max_request_bytes),
        ReadNumber(1, kMaxRequestBytes,
                   [](Settings* settings, std::int64_t value) {
                     settings->max_request_bytes =
                         static_cast<std::size_t>(value);
                   })},
-      {"log_level", false, ReadLogLevel},
+      {"log_level",
+       "info",
+       {"string", "debug, info, warning or error", ReadLogLevel}},
   };
   return rules;
 }
@@ -176,6 +193,17 @@
 }  // namespace
 }  // namespace internal
 
+std::vector<SettingRule> SettingRules() {
+  std::vector<SettingRule> rules;
+  for (const internal::KeyRule& rule : internal::KeyRules()) {
+    rules.push_back(
+        {std::string(rule.key), rule.value.type,
+         rule.default_value.empty() ? "required" : rule.default_value,
+         rule.value.range});
+  }
+  return rules;
+}
+
 std::variant<Settings, SettingsErrors> ParseSettings(std::string_view text) {
   const toml::parse_result parsed = toml::parse(text);
   if (!parsed) {
@@ -189,12 +217,12 @@
   for (const internal::KeyRule& rule : internal::KeyRules()) {
     const toml::node* node = table.get(rule.key);
     if (node == nullptr) {
-      if (rule.required) {
+      if (rule.default_value.empty()) {
         errors.push_back({0, std::string(rule.key), "required key is missing"});
       }
       continue;
     }
-    if (auto message = rule.read(*node, &settings)) {
+    if (auto message = rule.value.read(*node, &settings)) {
       errors.push_back({internal::LineOf(*node), std::string(rule.key),
                         *std::move(message)});
     }
