Answer a refused form of the console with a page

Cause: a browser got a JSON text when the form token was missing or wrong. Change: the answer is a page of the console, still with status 403. Conclusion: a browser gets a JSON text only for a post from another site.

--- a/packages/state/src/operator_api.cc
+++ b/packages/state/src/operator_api.cc
@@ -329,7 +329,11 @@
   // cookie need the form token.
   if (!login.form_token.empty() &&
       !EqualInConstantTime(FieldOf(form, "form_token"), login.form_token)) {
-    responder.Respond(internal::JsonError(403, "form token missing or wrong"));
+    responder.Respond(internal::PageResponse(
+        403, internal::NewPage("Form refused", "", login,
+                               "<p class=\"notice\" role=\"alert\">The form "
+                               "token is missing or wrong. Load the form "
+                               "again.</p>\n")));
     return;
   }
   if (path == "/logout") {
