--- a/packages/cli/command.h
+++ b/packages/cli/command.h
@@ -17,6 +17,9 @@
 int RunCancel(int argc, const char** argv);
 int RunSubmit(int argc, const char** argv);
 int RunApply(int argc, const char** argv);
+int RunStatus(int argc, const char** argv);
+int RunLate(int argc, const char** argv);
+int RunLoad(int argc, const char** argv);
 
 }  // namespace sequoiapath
 
--- a/packages/cli/main.cc
+++ b/packages/cli/main.cc
@@ -21,6 +21,9 @@
     {"submit", "submit a job and print its answer", RunSubmit},
     {"cancel", "cancel a running job", RunCancel},
     {"apply", "put a configuration file in force", RunApply},
+    {"status", "print the state of daemons", RunStatus},
+    {"late", "print late and failed requests", RunLate},
+    {"load", "generate load and measure the answers", RunLoad},
 };
 
 void PrintUsage(std::FILE* stream) {
