Add the decisions about worker health, retries and admission

Cause: a worker that failed or refused kept its place, refused tasks were retried without a budget, and jobs that could not end in time were queued. Change: five modules of plain structs that take the time as a parameter: worker_health (failure ratio against the median of the peers, ejection of at most 20%, trial readmission, avoidance after a refusal, leaving workers), connection_health, retry_budget (10% of starts, at least 10/s), run_time_estimate and admission. SEQUOIAPATH_ASSERT checks impossible states.

--- /dev/null
+++ b/packages/coordination/src/admission.cc
@@ -0,0 +1,129 @@
+#include "sequoiapath/coordination/admission.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "sequoiapath/protocol/assert.h"
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+using Milliseconds = std::chrono::milliseconds;
+
+// An earlier retry meets the same queue.
+constexpr auto kMinRetryAfter = Milliseconds(50);
+constexpr auto kMaxRetryAfter = Milliseconds(60'000);
+// Used when a bound on waiting tasks is reached and no wait is known.
+constexpr auto kDefaultRetryAfter = Milliseconds(1000);
+
+void Remove(std::map<std::string, std::size_t>* counts, const std::string& key,
+            std::size_t tasks) {
+  const auto it = counts->find(key);
+  SEQUOIAPATH_ASSERT(it != counts->end() && it->second >= tasks,
+                     "{} waiting tasks of {} are removed, but {} are counted",
+                     tasks, key, it == counts->end() ? 0 : it->second);
+  it->second -= tasks;
+  if (it->second == 0) counts->erase(it);
+}
+
+Failure Overloaded(Duration retry_after, std::string detail) {
+  return {Verdict::kNotRun, Reason::kOverloaded, RetryAdvice::kNewSequence,
+          std::clamp(std::chrono::ceil<Milliseconds>(retry_after),
+                     kMinRetryAfter, kMaxRetryAfter),
+          std::move(detail)};
+}
+
+// Checks the bounds on waiting tasks.
+std::optional<Failure> CheckBounds(const AdmissionLimits& limits,
+                                   const WaitingWork& work,
+                                   const AdmissionRequest& request,
+                                   Duration retry_after) {
+  if (work.total + request.tasks > limits.max_waiting_tasks) {
+    return Overloaded(retry_after,
+                      fmt::format("{} tasks are waiting; {} are allowed",
+                                  work.total, limits.max_waiting_tasks));
+  }
+  const auto team = work.by_team.find(request.team);
+  const std::size_t waiting = team == work.by_team.end() ? 0 : team->second;
+  if (waiting + request.tasks > limits.max_waiting_tasks_per_team) {
+    return Overloaded(
+        retry_after,
+        fmt::format("{} tasks of team {} are waiting; {} are allowed", waiting,
+                    request.team, limits.max_waiting_tasks_per_team));
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+}  // namespace internal
+
+void AddWaiting(WaitingWork* work, Priority priority,
+                const std::string& service, const std::string& team,
+                std::size_t tasks) {
+  if (tasks == 0) return;
+  work->by_service[static_cast<std::size_t>(priority)][service] += tasks;
+  work->by_team[team] += tasks;
+  work->total += tasks;
+}
+
+void RemoveWaiting(WaitingWork* work, Priority priority,
+                   const std::string& service, const std::string& team,
+                   std::size_t tasks) {
+  if (tasks == 0) return;
+  internal::Remove(&work->by_service[static_cast<std::size_t>(priority)],
+                   service, tasks);
+  internal::Remove(&work->by_team, team, tasks);
+  work->total -= tasks;
+}
+
+std::optional<Duration> ExpectedWait(const WaitingWork& work,
+                                     const RunTimeEstimates& estimates,
+                                     const AdmissionRequest& request) {
+  if (!request.saturated || request.slots_in_use == 0) return std::nullopt;
+  Duration ahead{0};
+  for (std::size_t i = 0; i <= static_cast<std::size_t>(request.priority);
+       ++i) {
+    for (const auto& [service, tasks] : work.by_service[i]) {
+      // Work of unknown length counts as none: the wait is then only
+      // underestimated.
+      const auto estimate = FindEstimate(estimates, service);
+      if (!estimate) continue;
+      ahead += estimate->mean * static_cast<std::int64_t>(tasks);
+    }
+  }
+  return ahead / static_cast<std::int64_t>(request.slots_in_use);
+}
+
+std::optional<Failure> RefuseJob(const AdmissionLimits& limits,
+                                 const WaitingWork& work,
+                                 const RunTimeEstimates& estimates,
+                                 const AdmissionRequest& request) {
+  const auto wait = ExpectedWait(work, estimates, request);
+  if (auto failure = internal::CheckBounds(
+          limits, work, request, wait.value_or(internal::kDefaultRetryAfter))) {
+    return failure;
+  }
+  // Without a backlog nothing is refused, not even a service whose mean exceeds
+  // the deadline: no task would run then, and the estimate could never recover
+  // from a slow period.
+  const auto estimate = FindEstimate(estimates, request.service);
+  if (!wait || *wait == Duration::zero() || !estimate) return std::nullopt;
+  const Duration own = estimate->mean *
+                       static_cast<std::int64_t>(request.tasks) /
+                       static_cast<std::int64_t>(request.slots_in_use);
+  const Duration run = std::max(estimate->mean, own);
+  if (*wait + run <= request.deadline) return std::nullopt;
+  return internal::Overloaded(
+      *wait + run - request.deadline,
+      fmt::format("expected wait {} ms and run {} ms; the deadline is {} ms",
+                  std::chrono::ceil<internal::Milliseconds>(*wait).count(),
+                  std::chrono::ceil<internal::Milliseconds>(run).count(),
+                  std::chrono::floor<internal::Milliseconds>(request.deadline)
+                      .count()));
+}
+
+}  // namespace sequoiapath
