Choose workers by their health and bound retries

Cause: the runner sent refused tasks to the same worker every 20 ms, ignored x-leaving, and gave the fewest-tasks worker the most work, so one that failed at once took nearly everything. Non-idempotent tasks followed each other into a silent worker. Ending a runner with requests in flight called back into members that were destroyed already. Change: AcquireUnits gets a predicate of worker_health and connection_health; retries draw on retry_budget; a failing worker keeps the slots of a failed task for the usual run time; suspect workers are probed with GET /v1/usage and get no non-idempotent task before an answer; CheckAdmission estimates the wait. Conclusion: the verdict logic was right already and is now guarded; what was missing is the choice of the worker.

--- a/packages/protocol/include/sequoiapath/protocol/worker_api.h
+++ b/packages/protocol/include/sequoiapath/protocol/worker_api.h
@@ -35,6 +35,8 @@
   bool worker_leaving = false;
   // The connection fell silent or broke after the request was sent.
   bool connection_suspect = false;
+  // Not started for a reason that says nothing about the worker.
+  bool local_reason = false;
 };
 
 // Returns the request that starts a task. Thread-safe.
@@ -43,6 +45,10 @@
 // Returns the request that stops a task. Thread-safe.
 HttpRequest EncodeTaskStop(const std::string& task_id);
 
+// Returns the request that asks for a worker's running tasks. It has no effect,
+// so it serves to test a connection. Thread-safe.
+HttpRequest EncodeUsageQuery();
+
 // Interprets the reply to EncodeTaskStart(start). Thread-safe.
 TaskOutcome InterpretTaskReply(const TaskStart& start, const HttpResult& reply);
 
--- a/packages/protocol/src/worker_api.cc
+++ b/packages/protocol/src/worker_api.cc
@@ -16,6 +16,8 @@
                                           : TaskOutcome::Kind::kNotStarted;
   outcome.connection_suspect =
       error.may_have_been_sent && error.kind != HttpErrorKind::kCancelled;
+  outcome.local_reason = error.kind == HttpErrorKind::kNoConnection ||
+                         error.kind == HttpErrorKind::kCancelled;
   outcome.detail = fmt::format("{}: {}", ToString(error.kind), error.message);
   return outcome;
 }
@@ -45,6 +47,13 @@
   return request;
 }
 
+HttpRequest EncodeUsageQuery() {
+  HttpRequest request;
+  request.method = "GET";
+  request.path = "/v1/usage";
+  return request;
+}
+
 TaskOutcome InterpretTaskReply(const TaskStart& start,
                                const HttpResult& reply) {
   if (const auto* error = std::get_if<HttpError>(&reply)) {
--- a/packages/state/include/sequoiapath/state/job_runner.h
+++ b/packages/state/include/sequoiapath/state/job_runner.h
@@ -6,15 +6,21 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "sequoiapath/coordination/admission.h"
 #include "sequoiapath/coordination/catalog.h"
+#include "sequoiapath/coordination/retry_budget.h"
+#include "sequoiapath/coordination/run_time_estimate.h"
 #include "sequoiapath/coordination/share_ledger.h"
 #include "sequoiapath/coordination/task_queue.h"
+#include "sequoiapath/coordination/worker_health.h"
 #include "sequoiapath/protocol/job.h"
 #include "sequoiapath/state/worker_pool.h"
 #include "sequoiapath/transport/event_loop.h"
@@ -41,14 +47,25 @@
 // been written. Thread safety: loop thread only.
 class JobRunner {
  public:
-  // Preconditions: `loop` outlives the runner; `task_id_prefix` is unique to
-  // this process.
+  // Preconditions: `loop` outlives the runner and does not run after its end;
+  // `task_id_prefix` is unique to this process.
   JobRunner(EventLoop* loop, std::string task_id_prefix);
   ~JobRunner();
+  JobRunner(const JobRunner&) = delete;
+  JobRunner& operator=(const JobRunner&) = delete;
 
   // Takes over a new configuration; running tasks are not affected.
   void SetCatalog(std::shared_ptr<const Catalog> catalog);
 
+  // Bounds the waiting tasks of jobs that are admitted later.
+  void SetAdmissionLimits(const AdmissionLimits& limits) {
+    this->admission_limits = limits;
+  }
+
+  // Returns why a job would not end by its deadline or exceeds a bound; nothing
+  // if it may be started.
+  std::optional<Failure> CheckAdmission(const JobSpec& spec);
+
   // Starts a job; `callback` is called exactly once, by the deadline at the
   // latest, and never before Start returns.
   JobId Start(JobSpec spec, JobCallback callback);
@@ -61,17 +78,36 @@
   std::size_t RunningJobs() const;
 
   // Returns the number of tasks that wait for a worker.
-  std::size_t WaitingTasks() const { return this->queue.waiting; }
+  std::size_t WaitingTasks() const { return this->waiting_work.total; }
+
+  // Returns what is known of the workers.
+  const WorkerHealth& Health() const { return this->health; }
 
  private:
   struct SentTask {
     QueuedTask task;
     HeldUnits held;
     std::string task_id;
+    TimePoint sent;
     TimePoint lease_end;
+    std::string service;
+    bool trial = false;  // Of an ejected worker.
   };
 
   void Dispatch();
+  std::optional<HeldUnits> Acquire(const Placement& placement, bool idempotent);
+  void ScheduleWakeUp();
+  void ForgetChangedWorkers(const Catalog& next);
+  void RecordEvidence(const SentTask& sent, const TaskOutcome& outcome,
+                      const internal::RunningJob* job);
+  TaskEnd JudgeEnd(const SentTask& sent, const TaskOutcome& outcome,
+                   const internal::RunningJob* job) const;
+  void ReleaseUnitsOf(const SentTask& sent, const TaskOutcome& outcome);
+  void Retry(internal::RunningJob* job, std::uint32_t index, Duration delay);
+  void PumpRetries();
+  void AddWaitingTasks(internal::RunningJob* job, std::size_t tasks);
+  void RemoveWaitingTasks(internal::RunningJob* job, std::size_t tasks);
+  void DropWaiting(internal::RunningJob* job);
   void ScheduleDispatch();
   void SendTask(const QueuedTask& task, HeldUnits held);
   void OnOutcome(const SentTask& sent, TaskOutcome outcome);
@@ -86,12 +122,27 @@
 
   EventLoop* loop;
   std::string task_id_prefix;
-  WorkerPool workers;
+  std::shared_ptr<const Catalog> catalog;
   ShareLedger ledger;
   TaskQueue queue;
+  WorkerHealth health;
+  RunTimeEstimates estimates;
+  AdmissionLimits admission_limits;
+  WaitingWork waiting_work;
+  RetryBudget retry_budget;
+  // Tasks that wait for the retry budget. Their jobs may have ended.
+  std::deque<QueuedTask> retries;
+  TimerId retry_timer = 0;
+  TimerId wake_up_timer = 0;
   std::unordered_map<JobId, std::unique_ptr<internal::RunningJob>> jobs;
   JobId next_job_id = 1;
+  std::size_t tasks_in_flight = 0;
+  // Whether the last dispatch left tasks without a worker.
+  bool saturated = false;
   bool dispatch_scheduled = false;
+  bool closing = false;
+  // Destroyed first, because ending its requests calls back into this object.
+  WorkerPool workers;
 };
 
 }  // namespace sequoiapath
--- a/packages/state/src/job_runner.cc
+++ b/packages/state/src/job_runner.cc
@@ -6,14 +6,22 @@
 #include <optional>
 #include <utility>
 
+#include "sequoiapath/protocol/assert.h"
+
 namespace sequoiapath {
 namespace internal {
 
 // A worker counts the lease from when it receives the task, so the units of a
 // task without an answer are kept a little beyond the lease's end.
 constexpr auto kLeaseMargin = std::chrono::milliseconds(500);
-// Backs off when no worker takes a task that surely did not run.
-constexpr auto kRetryDelay = std::chrono::milliseconds(20);
+// Backs off when no connection of a worker was free; the worker itself is not
+// avoided then.
+constexpr auto kLocalRetryDelay = std::chrono::milliseconds(20);
+// Holds the slots of a failed task when the usual run time is unknown.
+constexpr auto kDefaultFailureHold = std::chrono::milliseconds(200);
+// A lease shorter than the usual run time by this many deviations ends tasks of
+// healthy workers too.
+constexpr int kLeaseDeviations = 4;
 
 struct RunningJob {
   JobId id = 0;
@@ -25,6 +33,8 @@
   std::uint32_t started = 0;
   std::uint32_t in_flight = 0;
   std::uint32_t unknown = 0;
+  std::size_t waiting = 0;  // In the queue or waiting for a retry.
+  bool cancelled = false;
   std::optional<Failure> failure;
   // Task id and worker of each task in flight, by index in the submission.
   std::unordered_map<std::uint32_t, std::pair<std::string, std::string>>
@@ -39,6 +49,10 @@
   return job.started > 0 ? Verdict::kRan : Verdict::kNotRun;
 }
 
+Priority PriorityOf(const JobSpec& spec) {
+  return spec.request.priority.value_or(spec.service.priority);
+}
+
 RetryAdvice AdviceFor(const RunningJob& job, Verdict verdict) {
   if (verdict == Verdict::kNotRun || job.spec.service.idempotent) {
     return RetryAdvice::kNewSequence;
@@ -52,16 +66,53 @@
 using internal::RunningJob;
 
 JobRunner::JobRunner(EventLoop* loop, std::string task_id_prefix)
-    : loop(loop), task_id_prefix(std::move(task_id_prefix)), workers(loop) {}
+    : loop(loop),
+      task_id_prefix(std::move(task_id_prefix)),
+      workers(loop, [this] { this->ScheduleDispatch(); }) {}
 
-JobRunner::~JobRunner() = default;
+JobRunner::~JobRunner() { this->closing = true; }
 
 void JobRunner::SetCatalog(std::shared_ptr<const Catalog> catalog) {
   SetWorkers(&this->ledger, catalog->document.workers);
+  this->ForgetChangedWorkers(*catalog);
+  this->catalog = catalog;
   this->workers.SetCatalog(std::move(catalog));
   this->ScheduleDispatch();
 }
 
+// A new or changed entry may name another machine, so what was observed under
+// the same name no longer counts.
+void JobRunner::ForgetChangedWorkers(const Catalog& next) {
+  if (this->catalog == nullptr) return;
+  for (const WorkerSpec& old : this->catalog->document.workers) {
+    const WorkerSpec* worker = FindWorker(next, old.name);
+    if (worker == nullptr || *worker != old) {
+      ForgetWorker(&this->health, old.name);
+    }
+  }
+  for (const WorkerSpec& worker : next.document.workers) {
+    if (FindWorker(*this->catalog, worker.name) == nullptr) {
+      ForgetWorker(&this->health, worker.name);
+    }
+  }
+}
+
+std::optional<Failure> JobRunner::CheckAdmission(const JobSpec& spec) {
+  // Tasks that wait for a particular kind of worker must not keep out a job for
+  // which a worker is free.
+  const auto free = this->Acquire({spec.request.demand, spec.request.places},
+                                  spec.service.idempotent);
+  if (free) ReleaseUnits(&this->ledger, *free);
+  return RefuseJob(this->admission_limits, this->waiting_work, this->estimates,
+                   {.service = spec.service.name,
+                    .team = spec.team,
+                    .priority = internal::PriorityOf(spec),
+                    .tasks = spec.request.payloads.size(),
+                    .deadline = spec.deadline - this->loop->Now(),
+                    .slots_in_use = this->tasks_in_flight,
+                    .saturated = this->saturated && !free.has_value()});
+}
+
 JobId JobRunner::Start(JobSpec spec, JobCallback callback) {
   const JobId id = this->next_job_id++;
   auto owned = std::make_unique<RunningJob>();
@@ -78,10 +129,10 @@
       {.job = id,
        .team = job->spec.team,
        .weight = job->spec.weight,
-       .priority =
-           job->spec.request.priority.value_or(job->spec.service.priority),
+       .priority = internal::PriorityOf(job->spec),
        .placement = {job->spec.request.demand, job->spec.request.places},
        .task_count = static_cast<std::uint32_t>(job->results.size())});
+  this->AddWaitingTasks(job, job->results.size());
   this->jobs.emplace(id, std::move(owned));
   this->ScheduleDispatch();
   return id;
@@ -90,6 +141,7 @@
 void JobRunner::Cancel(JobId id) {
   RunningJob* job = this->FindJob(id);
   if (job == nullptr) return;
+  job->cancelled = true;
   for (const auto& [index, task] : job->running_tasks) {
     this->workers.StopTask(task.second, task.first);
   }
@@ -119,13 +171,39 @@
     std::optional<HeldUnits> held;
     const auto task =
         TakeNext(&this->queue, [this, &held](const TaskGroup& group) {
-          held = AcquireUnits(&this->ledger, group.placement,
-                              [](const std::string&) { return true; });
+          const RunningJob* job = this->FindJob(group.job);
+          SEQUOIAPATH_ASSERT(job != nullptr,
+                             "job {} is queued but is not running", group.job);
+          held = this->Acquire(group.placement, job->spec.service.idempotent);
           return held.has_value();
         });
-    if (!task) return;
+    if (!task) {
+      this->saturated = true;
+      this->ScheduleWakeUp();
+      return;
+    }
     this->SendTask(*task, *std::move(held));
   }
+  this->saturated = false;
+}
+
+std::optional<HeldUnits> JobRunner::Acquire(const Placement& placement,
+                                            bool idempotent) {
+  const TimePoint now = this->loop->Now();
+  return AcquireUnits(&this->ledger, placement, [&](const std::string& worker) {
+    return IsEligible(this->health, worker, idempotent, now) &&
+           this->workers.AllowsTask(worker, idempotent);
+  });
+}
+
+// No event announces that a worker is no longer avoided.
+void JobRunner::ScheduleWakeUp() {
+  const TimePoint now = this->loop->Now();
+  const auto next = NextEligibility(this->health, now);
+  if (!next) return;
+  this->loop->Cancel(this->wake_up_timer);
+  this->wake_up_timer =
+      this->loop->Schedule(*next - now, [this] { this->ScheduleDispatch(); });
 }
 
 void JobRunner::SendTask(const QueuedTask& task, HeldUnits held) {
@@ -139,12 +217,19 @@
     return;
   }
   const auto lease = std::min(remaining, job->spec.service.longest_run);
+  const bool trial = RecordTaskSent(&this->health, held.worker);
   SentTask sent{
-      task, std::move(held),
+      task,
+      std::move(held),
       fmt::format("{}-{}-{}", this->task_id_prefix, task.job, task.index),
-      now + lease};
+      now,
+      now + lease,
+      job->spec.service.name,
+      trial};
   TaskStart start{sent.task_id, job->spec.service.name, lease,
                   job->spec.request.payloads[task.index]};
+  this->RemoveWaitingTasks(job, 1);
+  ++this->tasks_in_flight;
   ++job->started;
   ++job->in_flight;
   job->running_tasks[task.index] = {sent.task_id, sent.held.worker};
@@ -156,13 +241,11 @@
 }
 
 void JobRunner::OnOutcome(const SentTask& sent, TaskOutcome outcome) {
-  const bool unknown = outcome.kind == TaskOutcome::Kind::kUnknown;
-  if (unknown) {
-    this->ReleaseAt(sent.held, sent.lease_end + internal::kLeaseMargin);
-  } else {
-    ReleaseUnits(&this->ledger, sent.held);
-  }
+  if (this->closing) return;
+  --this->tasks_in_flight;
   RunningJob* job = this->FindJob(sent.task.job);
+  this->RecordEvidence(sent, outcome, job);
+  this->ReleaseUnitsOf(sent, outcome);
   if (job != nullptr) {
     --job->in_flight;
     job->running_tasks.erase(sent.task.index);
@@ -171,6 +254,66 @@
   this->ScheduleDispatch();
 }
 
+void JobRunner::ReleaseUnitsOf(const SentTask& sent,
+                               const TaskOutcome& outcome) {
+  if (outcome.kind == TaskOutcome::Kind::kUnknown) {
+    this->ReleaseAt(sent.held, sent.lease_end + internal::kLeaseMargin);
+    return;
+  }
+  if (outcome.kind == TaskOutcome::Kind::kFailed &&
+      FailsUnlikePeers(this->health, sent.held.worker)) {
+    const auto estimate = FindEstimate(this->estimates, sent.service);
+    const Duration usual =
+        estimate ? estimate->mean : Duration(internal::kDefaultFailureHold);
+    if (sent.sent + usual > this->loop->Now()) {
+      this->ReleaseAt(sent.held, sent.sent + usual);
+      return;
+    }
+  }
+  ReleaseUnits(&this->ledger, sent.held);
+}
+
+TaskEnd JobRunner::JudgeEnd(const SentTask& sent, const TaskOutcome& outcome,
+                            const RunningJob* job) const {
+  switch (outcome.kind) {
+    case TaskOutcome::Kind::kDone:
+      return TaskEnd::kSucceeded;
+    case TaskOutcome::Kind::kNotStarted:
+      return outcome.local_reason ? TaskEnd::kNoEvidence : TaskEnd::kNotStarted;
+    case TaskOutcome::Kind::kFailed:
+      // Workers also report a task as failed that was stopped.
+      return job == nullptr || job->cancelled ? TaskEnd::kNoEvidence
+                                              : TaskEnd::kFailed;
+    case TaskOutcome::Kind::kUnknown:
+      break;
+  }
+  if (outcome.local_reason || (job != nullptr && job->cancelled)) {
+    return TaskEnd::kNoEvidence;
+  }
+  const auto estimate = FindEstimate(this->estimates, sent.service);
+  const bool short_lease =
+      estimate &&
+      sent.lease_end - sent.sent <
+          estimate->mean + internal::kLeaseDeviations * estimate->deviation;
+  return short_lease ? TaskEnd::kNoEvidence : TaskEnd::kFailed;
+}
+
+void JobRunner::RecordEvidence(const SentTask& sent, const TaskOutcome& outcome,
+                               const RunningJob* job) {
+  const TimePoint now = this->loop->Now();
+  if (outcome.kind != TaskOutcome::Kind::kNotStarted) {
+    RecordStart(&this->retry_budget);
+  }
+  if (outcome.kind == TaskOutcome::Kind::kDone) {
+    RecordRunTime(&this->estimates, sent.service, now - sent.sent);
+  }
+  RecordTaskEnd(&this->health, sent.held.worker,
+                this->JudgeEnd(sent, outcome, job), sent.trial, now);
+  if (outcome.worker_leaving) {
+    RecordLeaving(&this->health, sent.held.worker, now);
+  }
+}
+
 void JobRunner::ReleaseAt(const HeldUnits& held, TimePoint when) {
   this->loop->Schedule(when - this->loop->Now(), [this, held] {
     ReleaseUnits(&this->ledger, held);
@@ -195,23 +338,70 @@
     case TaskOutcome::Kind::kNotStarted:
       --job->started;
       if (!job->failure) {
-        const JobId id = job->id;
-        this->loop->Schedule(internal::kRetryDelay, [this, id, index] {
-          const RunningJob* waiting = this->FindJob(id);
-          if (waiting == nullptr || waiting->failure) return;
-          ReturnTask(&this->queue, {id, index});
-          this->ScheduleDispatch();
-        });
+        this->Retry(job, index,
+                    outcome.local_reason ? Duration(internal::kLocalRetryDelay)
+                                         : Duration::zero());
       }
       break;
   }
   this->FinishIfDone(job);
 }
 
+void JobRunner::Retry(RunningJob* job, std::uint32_t index, Duration delay) {
+  this->AddWaitingTasks(job, 1);
+  const QueuedTask task{job->id, index};
+  this->loop->Schedule(delay, [this, task] {
+    this->retries.push_back(task);
+    this->PumpRetries();
+  });
+}
+
+// Puts tasks back into the queue as far as the retry budget allows; the others
+// wait for it.
+void JobRunner::PumpRetries() {
+  const TimePoint now = this->loop->Now();
+  while (!this->retries.empty()) {
+    const QueuedTask task = this->retries.front();
+    const RunningJob* job = this->FindJob(task.job);
+    const bool needed = job != nullptr && !job->failure;
+    if (needed && !TakeRetry(&this->retry_budget, now)) break;
+    this->retries.pop_front();
+    if (!needed) continue;
+    ReturnTask(&this->queue, task);
+    this->ScheduleDispatch();
+  }
+  this->loop->Cancel(this->retry_timer);
+  this->retry_timer = 0;
+  if (this->retries.empty()) return;
+  this->retry_timer =
+      this->loop->Schedule(TimeToNextRetry(&this->retry_budget, now),
+                           [this] { this->PumpRetries(); });
+}
+
+void JobRunner::AddWaitingTasks(RunningJob* job, std::size_t tasks) {
+  job->waiting += tasks;
+  AddWaiting(&this->waiting_work, internal::PriorityOf(job->spec),
+             job->spec.service.name, job->spec.team, tasks);
+}
+
+void JobRunner::RemoveWaitingTasks(RunningJob* job, std::size_t tasks) {
+  SEQUOIAPATH_ASSERT(job->waiting >= tasks,
+                     "{} waiting tasks of job {} are removed, but {} are left",
+                     tasks, job->id, job->waiting);
+  job->waiting -= tasks;
+  RemoveWaiting(&this->waiting_work, internal::PriorityOf(job->spec),
+                job->spec.service.name, job->spec.team, tasks);
+}
+
+void JobRunner::DropWaiting(RunningJob* job) {
+  RemoveGroup(&this->queue, job->id);
+  this->RemoveWaitingTasks(job, job->waiting);
+}
+
 // The answer waits for the tasks in flight, so that its verdict is definite
 // wherever the deadline allows.
 void JobRunner::FailJob(RunningJob* job, Reason reason, std::string detail) {
-  RemoveGroup(&this->queue, job->id);
+  this->DropWaiting(job);
   if (!job->failure) {
     job->failure = Failure{Verdict::kNotRun, reason, RetryAdvice::kNever,
                            std::nullopt, std::move(detail)};
@@ -227,7 +417,7 @@
 void JobRunner::OnDeadline(JobId id) {
   RunningJob* job = this->FindJob(id);
   if (job == nullptr) return;
-  RemoveGroup(&this->queue, id);
+  this->DropWaiting(job);
   if (!job->failure) {
     job->failure = Failure{Verdict::kNotRun, Reason::kDeadlineExceeded,
                            RetryAdvice::kNever, std::nullopt,
@@ -241,7 +431,7 @@
   auto node = this->jobs.extract(job->id);
   const std::unique_ptr<RunningJob> owned = std::move(node.mapped());
   this->loop->Cancel(owned->deadline_timer);
-  RemoveGroup(&this->queue, owned->id);
+  this->DropWaiting(owned.get());
   JobAnswer answer{owned->spec.request_id, JobResults{}};
   if (owned->failure) {
     Failure failure = *std::move(owned->failure);
--- a/packages/state/src/worker_pool.cc
+++ b/packages/state/src/worker_pool.cc
@@ -8,11 +8,20 @@
 namespace {
 
 constexpr auto kStopTimeout = std::chrono::seconds(2);
+constexpr auto kProbeTimeout = std::chrono::seconds(1);
 
 }  // namespace
 }  // namespace internal
 
-WorkerPool::WorkerPool(EventLoop* loop) : loop(loop) {}
+WorkerPool::WorkerPool(EventLoop* loop, std::function<void()> on_recovered)
+    : loop(loop), on_recovered(std::move(on_recovered)) {}
+
+// Ends the clients while the members that their callbacks use still exist.
+WorkerPool::~WorkerPool() {
+  this->loop->Cancel(this->probe_timer);
+  this->clients.clear();
+  this->retired.clear();
+}
 
 void WorkerPool::SetCatalog(std::shared_ptr<const Catalog> catalog) {
   this->catalog = std::move(catalog);
@@ -22,6 +31,7 @@
       ++it;
       continue;
     }
+    ForgetConnections(&this->connections, it->first);
     this->retired.push_back(std::move(it->second));
     it = this->clients.erase(it);
   }
@@ -35,21 +45,75 @@
   if (client == nullptr) {
     this->loop->Schedule(Duration::zero(), [callback = std::move(callback)] {
       callback({TaskOutcome::Kind::kNotStarted, "",
-                "the worker is no longer configured", true, false});
+                "the worker is no longer configured", true, false, true});
     });
     return;
   }
   HttpRequest request = EncodeTaskStart(start);
+  const TimePoint sent = this->loop->Now();
   client->Send(std::move(request), timeout,
-               [client, start = std::move(start),
+               [this, worker, client, sent, start = std::move(start),
                 callback = std::move(callback)](const HttpResult& result) {
                  TaskOutcome outcome = InterpretTaskReply(start, result);
-                 // Idle connections to the same worker share the failed path.
-                 if (outcome.connection_suspect) client->CloseIdleConnections();
+                 this->RecordReply(worker, client, outcome, sent);
                  callback(std::move(outcome));
                });
 }
 
+bool WorkerPool::AllowsTask(const std::string& worker, bool idempotent) const {
+  return ConnectionsAllow(this->connections, worker, idempotent);
+}
+
+void WorkerPool::RecordReply(const std::string& worker, HttpClient* client,
+                             const TaskOutcome& outcome, TimePoint sent) {
+  if (outcome.connection_suspect) {
+    // Idle connections to the same worker share the failed path.
+    client->CloseIdleConnections();
+    RecordBrokenConnection(&this->connections, worker, this->loop->Now());
+    this->ScheduleProbes();
+    return;
+  }
+  const bool answered = outcome.kind == TaskOutcome::Kind::kDone ||
+                        outcome.kind == TaskOutcome::Kind::kFailed;
+  if (answered) RecordAnswer(&this->connections, worker, sent);
+}
+
+void WorkerPool::ScheduleProbes() {
+  const auto next = NextProbe(this->connections);
+  if (!next) return;
+  this->loop->Cancel(this->probe_timer);
+  this->probe_timer = this->loop->Schedule(
+      std::max(*next - this->loop->Now(), Duration::zero()),
+      [this] { this->ProbeSuspects(); });
+}
+
+void WorkerPool::ProbeSuspects() {
+  this->probe_timer = 0;
+  for (const std::string& worker :
+       TakeDueProbes(&this->connections, this->loop->Now())) {
+    this->SendProbe(worker);
+  }
+  this->ScheduleProbes();
+}
+
+void WorkerPool::SendProbe(const std::string& worker) {
+  HttpClient* client = this->ClientOf(worker);
+  if (client == nullptr) {
+    ForgetConnections(&this->connections, worker);
+    return;
+  }
+  const TimePoint sent = this->loop->Now();
+  client->Send(EncodeUsageQuery(), internal::kProbeTimeout,
+               [this, worker, sent](const HttpResult& result) {
+                 EndProbe(&this->connections, worker, this->loop->Now());
+                 if (std::holds_alternative<HttpResponse>(result)) {
+                   RecordAnswer(&this->connections, worker, sent);
+                   this->on_recovered();
+                 }
+                 this->ScheduleProbes();
+               });
+}
+
 void WorkerPool::StopTask(const std::string& worker,
                           const std::string& task_id) {
   HttpClient* client = this->ClientOf(worker);
--- a/tests/correctness/admission_test.cc
+++ b/tests/correctness/admission_test.cc
@@ -14,8 +14,9 @@
 RunTimeEstimates Observed(const std::string& service, Duration run_time,
                           int samples) {
   RunTimeEstimates estimates;
-  for (int i = 0; i < samples; ++i)
+  for (int i = 0; i < samples; ++i) {
     RecordRunTime(&estimates, service, run_time);
+  }
   return estimates;
 }
 
--- /dev/null
+++ b/tests/error/job_runner_test.cc
@@ -0,0 +1,430 @@
+// Guards the verdict of a job (G4, G5) over real connections: whatever a worker
+// does, no task is sent again once a byte may have been written, and not_run is
+// said only of jobs without a start.
+
+#include "sequoiapath/state/job_runner.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+#include "support/raw_server.h"
+
+namespace sequoiapath {
+namespace {
+
+using std::chrono::milliseconds;
+using test::RawServer;
+using test::ReadRawRequest;
+using test::RunFor;
+using test::RunUntil;
+using test::WriteRawResponse;
+
+// Counts the tasks that arrived at any worker of a test.
+struct Arrivals {
+  std::atomic<int> tasks = 0;
+  std::atomic<int> stops = 0;
+};
+
+// Answers each request on a connection with `answer(fd, request)` until it
+// returns false. Counts tasks and stop calls; answers usage queries and stops.
+RawServer::Serve Worker(Arrivals* arrivals,
+                        std::function<bool(int, const std::string&)> answer) {
+  return [arrivals, answer = std::move(answer)](int fd) {
+    while (true) {
+      const std::string request = ReadRawRequest(fd);
+      if (request.empty()) return;
+      if (request.starts_with("POST")) {
+        ++arrivals->tasks;
+        if (!answer(fd, request)) return;
+        continue;
+      }
+      if (request.starts_with("DELETE")) ++arrivals->stops;
+      WriteRawResponse(fd, 200, "{}");
+    }
+  };
+}
+
+bool Succeed(int fd, const std::string& request) {
+  WriteRawResponse(fd, 200, request.substr(request.find("\r\n\r\n") + 4));
+  return true;
+}
+
+bool RefuseTask(int fd, const std::string&) {
+  WriteRawResponse(fd, 503, "{}", "x-not-started: 1\r\n");
+  return true;
+}
+
+bool FailTask(int fd, const std::string&) {
+  WriteRawResponse(fd, 500, "{}");
+  return true;
+}
+
+struct Harness {
+  EventLoop loop;
+  JobRunner runner{&loop, "t"};
+  std::vector<JobAnswer> answers;
+  Document document;
+  std::uint64_t generation = 0;
+};
+
+void AddWorker(Harness* harness, const Endpoint& address, int slots = 8) {
+  WorkerSpec worker;
+  worker.name = "w" + std::to_string(harness->document.workers.size());
+  worker.data_centre = "heredia";
+  worker.address = address;
+  worker.slots = slots;
+  harness->document.workers.push_back(worker);
+}
+
+void ApplyDocument(Harness* harness) {
+  ConfigRecord record;
+  record.generation = ++harness->generation;
+  harness->runner.SetCatalog(MakeCatalog(record, harness->document));
+}
+
+JobId StartJob(Harness* harness, int tasks, milliseconds deadline,
+               bool idempotent = false) {
+  JobSpec spec;
+  spec.request_id = "r";
+  spec.team = "clerks";
+  spec.service.name = "refund";
+  spec.service.idempotent = idempotent;
+  for (int i = 0; i < tasks; ++i) {
+    spec.request.payloads.push_back(std::to_string(i));
+  }
+  spec.deadline = harness->loop.Now() + deadline;
+  return harness->runner.Start(std::move(spec), [harness](JobAnswer answer) {
+    harness->answers.push_back(std::move(answer));
+  });
+}
+
+// Runs one job to its answer.
+JobAnswer RunJob(Harness* harness, int tasks, milliseconds deadline,
+                 bool idempotent = false) {
+  harness->answers.clear();
+  StartJob(harness, tasks, deadline, idempotent);
+  EXPECT_TRUE(
+      RunUntil(&harness->loop, [&] { return !harness->answers.empty(); }));
+  EXPECT_EQ(harness->runner.WaitingTasks(), 0U);
+  return harness->answers.empty() ? JobAnswer{} : harness->answers.front();
+}
+
+const Failure* FailureOf(const JobAnswer& answer) {
+  return std::get_if<Failure>(&answer.outcome);
+}
+
+void ExpectFailure(const JobAnswer& answer, Verdict verdict, Reason reason) {
+  const Failure* failure = FailureOf(answer);
+  ASSERT_NE(failure, nullptr);
+  EXPECT_EQ(ToString(failure->verdict), ToString(verdict)) << failure->detail;
+  EXPECT_EQ(ToString(failure->reason), ToString(reason)) << failure->detail;
+}
+
+TEST(JobRunnerTest, AnswersInTheOrderOfTheSubmission) {
+  Arrivals arrivals;
+  RawServer first(Worker(&arrivals, Succeed));
+  RawServer second(Worker(&arrivals, Succeed));
+  Harness harness;
+  AddWorker(&harness, first.endpoint);
+  AddWorker(&harness, second.endpoint);
+  ApplyDocument(&harness);
+  const JobAnswer answer = RunJob(&harness, 40, milliseconds(5000));
+  ASSERT_EQ(FailureOf(answer), nullptr);
+  const auto& results = std::get<JobResults>(answer.outcome).results;
+  ASSERT_EQ(results.size(), 40U);
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    EXPECT_EQ(results[i], std::to_string(i));
+  }
+  EXPECT_EQ(arrivals.tasks, 40);
+}
+
+TEST(JobRunnerTest, RefusedEverywhereIsNotRun) {
+  Arrivals arrivals;
+  RawServer worker(Worker(&arrivals, RefuseTask));
+  Harness harness;
+  AddWorker(&harness, worker.endpoint);
+  ApplyDocument(&harness);
+  ExpectFailure(RunJob(&harness, 2, milliseconds(300)), Verdict::kNotRun,
+                Reason::kDeadlineExceeded);
+  EXPECT_GT(arrivals.tasks, 2);
+}
+
+TEST(JobRunnerTest, RefusedTaskRunsOnAnotherWorker) {
+  Arrivals refusing;
+  Arrivals accepting;
+  RawServer first(Worker(&refusing, RefuseTask));
+  RawServer second(Worker(&accepting, Succeed));
+  Harness harness;
+  AddWorker(&harness, first.endpoint);
+  AddWorker(&harness, second.endpoint);
+  ApplyDocument(&harness);
+  EXPECT_EQ(FailureOf(RunJob(&harness, 4, milliseconds(3000))), nullptr);
+  EXPECT_EQ(accepting.tasks, 4);
+  EXPECT_GT(refusing.tasks, 0);
+}
+
+// A refusing worker must not get messages without end: tasks wait instead.
+TEST(JobRunnerTest, RetryBudgetBoundsMessagesToRefusingWorkers) {
+  Arrivals arrivals;
+  RawServer worker(Worker(&arrivals, RefuseTask));
+  Harness harness;
+  AddWorker(&harness, worker.endpoint);
+  ApplyDocument(&harness);
+  ExpectFailure(RunJob(&harness, 8, milliseconds(2000)), Verdict::kNotRun,
+                Reason::kDeadlineExceeded);
+  RecordProperty("messages", arrivals.tasks);
+  // 8 first sends, 10 saved retries and 10 for each second.
+  EXPECT_LE(arrivals.tasks, 40);
+}
+
+TEST(JobRunnerTest, UnreachableWorkerIsNotRunAndAvoided) {
+  Arrivals arrivals;
+  Endpoint closed;
+  {
+    RawServer gone(Worker(&arrivals, Succeed));
+    closed = gone.endpoint;
+  }
+  Harness harness;
+  AddWorker(&harness, closed);
+  ApplyDocument(&harness);
+  ExpectFailure(RunJob(&harness, 1, milliseconds(200)), Verdict::kNotRun,
+                Reason::kDeadlineExceeded);
+  RawServer worker(Worker(&arrivals, Succeed));
+  AddWorker(&harness, worker.endpoint);
+  ApplyDocument(&harness);
+  EXPECT_EQ(FailureOf(RunJob(&harness, 4, milliseconds(3000))), nullptr);
+}
+
+TEST(JobRunnerTest, FailedTaskIsRanAndNotSentAgain) {
+  Arrivals arrivals;
+  RawServer first(Worker(&arrivals, FailTask));
+  RawServer second(Worker(&arrivals, FailTask));
+  Harness harness;
+  AddWorker(&harness, first.endpoint);
+  AddWorker(&harness, second.endpoint);
+  ApplyDocument(&harness);
+  ExpectFailure(RunJob(&harness, 1, milliseconds(1000), /*idempotent=*/true),
+                Verdict::kRan, Reason::kWorkerFailed);
+  RunFor(&harness.loop, milliseconds(100));
+  EXPECT_EQ(arrivals.tasks, 1);
+}
+
+// Runs one task against two workers that serve connections with `serve`.
+void ExpectMayHaveRunOnce(const RawServer::Serve& serve, Reason reason) {
+  RawServer first(serve);
+  RawServer second(serve);
+  Harness harness;
+  AddWorker(&harness, first.endpoint);
+  AddWorker(&harness, second.endpoint);
+  ApplyDocument(&harness);
+  ExpectFailure(RunJob(&harness, 1, milliseconds(400), /*idempotent=*/true),
+                Verdict::kMayHaveRun, reason);
+}
+
+TEST(JobRunnerTest, ConnectionClosedAfterTheRequestMayHaveRun) {
+  Arrivals arrivals;
+  ExpectMayHaveRunOnce(
+      Worker(&arrivals, [](int, const std::string&) { return false; }),
+      Reason::kWorkerSilent);
+  EXPECT_EQ(arrivals.tasks, 1);
+}
+
+TEST(JobRunnerTest, ConnectionClosedInTheMiddleOfTheAnswerMayHaveRun) {
+  Arrivals arrivals;
+  ExpectMayHaveRunOnce(
+      Worker(&arrivals,
+             [](int fd, const std::string&) {
+               test::WriteRaw(fd,
+                              "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{");
+               return false;
+             }),
+      Reason::kWorkerSilent);
+  EXPECT_EQ(arrivals.tasks, 1);
+}
+
+// The request's bytes may sit in the worker's socket when it closes.
+TEST(JobRunnerTest, ConnectionClosedWithoutReadingMayHaveRun) {
+  std::atomic<int> connections = 0;
+  ExpectMayHaveRunOnce([&connections](int) { ++connections; },
+                       Reason::kWorkerSilent);
+  // The later ones are probes of the suspect worker.
+  EXPECT_GE(connections, 1);
+}
+
+TEST(JobRunnerTest, MissingAnswerMayHaveRunAtTheDeadline) {
+  Arrivals arrivals;
+  RawServer worker(Worker(&arrivals, [](int fd, const std::string&) {
+    return !ReadRawRequest(fd).empty();  // Waits for the end.
+  }));
+  Harness harness;
+  AddWorker(&harness, worker.endpoint);
+  ApplyDocument(&harness);
+  const TimePoint begin = harness.loop.Now();
+  const JobAnswer answer = RunJob(&harness, 1, milliseconds(300));
+  ASSERT_NE(FailureOf(answer), nullptr);
+  EXPECT_EQ(FailureOf(answer)->verdict, Verdict::kMayHaveRun);
+  EXPECT_LT(harness.loop.Now() - begin, milliseconds(500));
+  EXPECT_EQ(arrivals.tasks, 1);
+}
+
+// A late answer must reach neither its own job again nor another one.
+TEST(JobRunnerTest, LateAnswerReachesNobody) {
+  Arrivals arrivals;
+  RawServer worker(Worker(&arrivals, [&](int fd, const std::string& request) {
+    if (arrivals.tasks == 1) {
+      std::this_thread::sleep_for(milliseconds(400));
+      WriteRawResponse(fd, 200, "\"late\"");
+      return true;
+    }
+    return Succeed(fd, request);
+  }));
+  Harness harness;
+  AddWorker(&harness, worker.endpoint);
+  ApplyDocument(&harness);
+  StartJob(&harness, 1, milliseconds(150));
+  ASSERT_TRUE(
+      RunUntil(&harness.loop, [&] { return !harness.answers.empty(); }));
+  EXPECT_NE(FailureOf(harness.answers[0]), nullptr);
+  StartJob(&harness, 1, milliseconds(3000), /*idempotent=*/true);
+  RunFor(&harness.loop, milliseconds(600));
+  ASSERT_EQ(harness.answers.size(), 2U);
+  ASSERT_EQ(FailureOf(harness.answers[1]), nullptr);
+  EXPECT_EQ(std::get<JobResults>(harness.answers[1].outcome).results[0], "0");
+}
+
+TEST(JobRunnerTest, CancelBeforeAnyStartIsNotRun) {
+  Arrivals arrivals;
+  RawServer worker(Worker(&arrivals, Succeed));
+  Harness harness;
+  AddWorker(&harness, worker.endpoint);
+  ApplyDocument(&harness);
+  const JobId id = StartJob(&harness, 3, milliseconds(1000));
+  harness.runner.Cancel(id);
+  RunFor(&harness.loop, milliseconds(100));
+  ASSERT_EQ(harness.answers.size(), 1U);
+  ExpectFailure(harness.answers[0], Verdict::kNotRun, Reason::kCancelled);
+  EXPECT_EQ(arrivals.tasks, 0);
+}
+
+TEST(JobRunnerTest, CancelStopsRunningTasksAndDropsWaitingOnes) {
+  Arrivals arrivals;
+  RawServer worker(Worker(&arrivals, [&](int fd, const std::string& request) {
+    while (arrivals.stops == 0) std::this_thread::sleep_for(milliseconds(1));
+    return FailTask(fd, request);
+  }));
+  Harness harness;
+  AddWorker(&harness, worker.endpoint, /*slots=*/2);
+  ApplyDocument(&harness);
+  const JobId id = StartJob(&harness, 5, milliseconds(3000));
+  ASSERT_TRUE(RunUntil(&harness.loop, [&] { return arrivals.tasks == 2; }));
+  harness.runner.Cancel(id);
+  ASSERT_TRUE(
+      RunUntil(&harness.loop, [&] { return !harness.answers.empty(); }));
+  ExpectFailure(harness.answers[0], Verdict::kRan, Reason::kCancelled);
+  EXPECT_EQ(arrivals.tasks, 2);
+  EXPECT_EQ(EjectedWorkers(harness.runner.Health()), 0U);
+}
+
+TEST(JobRunnerTest, LeavingWorkerGetsNoNewTask) {
+  Arrivals leaving;
+  Arrivals staying;
+  RawServer first(Worker(&leaving, [](int fd, const std::string&) {
+    WriteRawResponse(fd, 200, "1", "x-leaving: 1\r\n");
+    return true;
+  }));
+  RawServer second(Worker(&staying, Succeed));
+  Harness harness;
+  AddWorker(&harness, first.endpoint);
+  AddWorker(&harness, second.endpoint);
+  ApplyDocument(&harness);
+  EXPECT_EQ(FailureOf(RunJob(&harness, 1, milliseconds(1000))), nullptr);
+  EXPECT_EQ(leaving.tasks, 1);
+  EXPECT_EQ(FailureOf(RunJob(&harness, 20, milliseconds(1000))), nullptr);
+  EXPECT_EQ(leaving.tasks, 1);
+  EXPECT_EQ(staying.tasks, 20);
+  harness.document.workers[1].leaving = true;
+  ApplyDocument(&harness);
+  ExpectFailure(RunJob(&harness, 1, milliseconds(200)), Verdict::kNotRun,
+                Reason::kDeadlineExceeded);
+  EXPECT_EQ(staying.tasks, 20);
+}
+
+// A worker that fails everything at once must not attract the work.
+TEST(JobRunnerTest, QuicklyFailingWorkerDoesNotAttractWork) {
+  Arrivals bad;
+  Arrivals good;
+  RawServer failing(Worker(&bad, FailTask));
+  const auto slow = [](int fd, const std::string& request) {
+    std::this_thread::sleep_for(milliseconds(50));
+    return Succeed(fd, request);
+  };
+  std::vector<std::unique_ptr<RawServer>> others;
+  Harness harness;
+  AddWorker(&harness, failing.endpoint, 4);
+  for (int i = 0; i < 5; ++i) {
+    others.push_back(std::make_unique<RawServer>(Worker(&good, slow)));
+    AddWorker(&harness, others.back()->endpoint, 4);
+  }
+  ApplyDocument(&harness);
+  for (int i = 0; i < 400; ++i) {
+    StartJob(&harness, 1, milliseconds(8000), /*idempotent=*/true);
+  }
+  ASSERT_TRUE(
+      RunUntil(&harness.loop, [&] { return harness.answers.size() == 400; }));
+  RecordProperty("failed_tasks", bad.tasks);
+  EXPECT_LE(bad.tasks, 30);
+  EXPECT_EQ(good.tasks + bad.tasks, 400);
+}
+
+// A worker whose connections, new ones too, are silent for a while.
+struct SilentPhase {
+  std::atomic<bool> silent = false;
+  std::atomic<int> tasks_in_silence = 0;
+};
+
+RawServer::Serve WorkerWith(SilentPhase* phase) {
+  return [phase](int fd) {
+    bool dead = false;  // A connection that fell silent stays so.
+    while (true) {
+      const std::string request = ReadRawRequest(fd);
+      if (request.empty()) return;
+      dead = dead || phase->silent;
+      if (dead) {
+        if (request.starts_with("POST")) ++phase->tasks_in_silence;
+        continue;
+      }
+      WriteRawResponse(fd, 200, "1");
+    }
+  };
+}
+
+// Open connections go silent for good while new ones work after a while. Only
+// the task that met the silence may be lost: the others are not sent until a
+// fresh connection has answered.
+TEST(JobRunnerTest, NonIdempotentTaskWaitsForAFreshConnectionAfterSilence) {
+  SilentPhase phase;
+  RawServer worker(WorkerWith(&phase));
+  Harness harness;
+  AddWorker(&harness, worker.endpoint, 4);
+  ApplyDocument(&harness);
+  ASSERT_EQ(FailureOf(RunJob(&harness, 4, milliseconds(2000))), nullptr);
+  phase.silent = true;
+  const JobAnswer lost = RunJob(&harness, 1, milliseconds(200));
+  ASSERT_NE(FailureOf(lost), nullptr);
+  EXPECT_EQ(FailureOf(lost)->verdict, Verdict::kMayHaveRun);
+  harness.answers.clear();
+  for (int i = 0; i < 3; ++i) StartJob(&harness, 1, milliseconds(8000));
+  RunFor(&harness.loop, milliseconds(500));
+  EXPECT_TRUE(harness.answers.empty());
+  phase.silent = false;
+  ASSERT_TRUE(
+      RunUntil(&harness.loop, [&] { return harness.answers.size() == 3; }));
+  for (const JobAnswer& answer : harness.answers) {
+    EXPECT_EQ(FailureOf(answer), nullptr);
+  }
+  EXPECT_EQ(phase.tasks_in_silence, 1);
+}
+
+}  // namespace
+}  // namespace sequoiapath
