Refuse deeply nested submissions

Cause: encoding a payload recurses once per level of nesting. A body of 2 MB with 1,000,000 nested arrays, within the limit of 40 MB, ended the daemon with a stack overflow, and with it every session on it. Change: a scan before the parse refuses more than 128 levels outside strings; messages repeat at most 64 bytes of a caller's names. Conclusion: a caller can no longer end the process this way.

--- a/packages/protocol/src/job.cc
+++ b/packages/protocol/src/job.cc
@@ -15,6 +15,11 @@
 constexpr double kMaxCores = 1 << 20;
 constexpr std::int64_t kMaxMemoryMb = std::int64_t{1} << 40;
 constexpr int kMaxAccelerators = 1 << 20;
+// Encoding a deeply nested payload recurses once per level, so 40 MB of
+// brackets would overflow the stack.
+constexpr int kMaxNesting = 128;
+// Bounds what an error message repeats of the request.
+constexpr std::size_t kMaxQuotedBytes = 64;
 constexpr std::int64_t kMaxDeadlineMs = std::int64_t{24} * 3600 * 1000;
 
 Failure Invalid(std::string detail) {
@@ -26,6 +31,33 @@
   return Json::parse(text, /*cb=*/nullptr, /*allow_exceptions=*/false);
 }
 
+// Returns the start of a text from the request for use in an error message.
+std::string Quote(const std::string& text) {
+  return text.size() <= kMaxQuotedBytes
+             ? text
+             : text.substr(0, kMaxQuotedBytes) + "...";
+}
+
+// Says whether brackets outside strings are nested deeper than kMaxNesting.
+bool IsNestedTooDeeply(std::string_view text) {
+  int depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      if (c == '\\') ++i;
+      if (c == '"') in_string = false;
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxNesting) return true;
+    } else if (c == ']' || c == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
 std::optional<std::string> ReadDemand(const Json& json, Demand* demand) {
   if (!json.is_object()) return "demand: expected an object";
   for (const auto& [key, value] : json.items()) {
@@ -51,7 +83,7 @@
       return fmt::format(
           "demand.{}: unknown key; allowed are cores, memory_mb and "
           "accelerators",
-          key);
+          Quote(key));
     }
   }
   return std::nullopt;
@@ -108,7 +140,7 @@
     return fmt::format(
         "{}: unknown key; allowed are service, tasks, deadline_ms, priority, "
         "demand and places",
-        key);
+        Quote(key));
   }
   return std::nullopt;
 }
@@ -180,6 +212,10 @@
 }
 
 Result<JobRequest> DecodeJobRequest(std::string_view body) {
+  if (internal::IsNestedTooDeeply(body)) {
+    return internal::Invalid(fmt::format("body: nested deeper than {} levels",
+                                         internal::kMaxNesting));
+  }
   const internal::Json json = internal::ParseJson(body);
   if (json.is_discarded()) return internal::Invalid("body: not valid JSON");
   if (!json.is_object()) {
--- a/tests/correctness/job_test.cc
+++ b/tests/correctness/job_test.cc
@@ -40,5 +40,18 @@
   EXPECT_EQ(failure.retry_after, std::chrono::milliseconds(5));
 }
 
+// Encoding a payload recurses once per level: a 2 MB body ended the process.
+TEST(JobTest, DeeplyNestedBodyIsRefused) {
+  constexpr std::size_t kLevels = 1'000'000;
+  const auto decoded = DecodeJobRequest(R"({"service":"a","tasks":[)" +
+                                        std::string(kLevels, '[') +
+                                        std::string(kLevels, ']') + "]}");
+  ASSERT_NE(GetFailure(decoded), nullptr);
+  EXPECT_EQ(GetFailure(decoded)->reason, Reason::kInvalidRequest);
+  const auto brackets = DecodeJobRequest(R"({"service":"a","tasks":["\"[)" +
+                                         std::string(kLevels, '[') + "\"]}");
+  EXPECT_EQ(GetFailure(brackets), nullptr) << "brackets inside a string";
+}
+
 }  // namespace
 }  // namespace sequoiapath
