Bound the session table and hand sessions over

Cause: records of used numbers and sessions were unbounded per team and in total (100,000 sessions of 1,024 records), a full store dropped the newest answer, one team could fill the table, a session could not be handed over, and refusals of the HTTP interface lacked a JSON answer or a request id. ExportSessions and ImportSessions move sessions; running numbers become may_have_run. A stopping daemon refuses new numbers without recording them. caller_api answers 404, 405, 413, 415 and numbers out of range in JSON, each with a request_id, and asks CheckAdmission.

--- a/packages/state/include/sequoiapath/state/caller_api.h
+++ b/packages/state/include/sequoiapath/state/caller_api.h
@@ -7,7 +7,9 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -32,22 +34,43 @@
   // Refuses new jobs from now on; running ones are answered.
   void BeginStop() { this->stopping = true; }
 
-  // Answers one request.
+  // Answers one request. Every answer is JSON with a `request_id`.
   void Handle(const HttpRequest& request, const HttpResponder& responder);
 
+  // Returns all sessions for a successor. Precondition: BeginStop was called.
+  std::vector<ExportedSession> ExportSessions() const;
+
+  // Takes over sessions of a stopping process; returns how many were added.
+  std::size_t ImportSessions(std::vector<ExportedSession> sessions);
+
+  // Says whether this process answers for sessions of `incarnation`.
+  bool AnswersFor(Incarnation incarnation) const;
+
  private:
-  using SubmissionKey = std::pair<std::uint64_t, SequenceNumber>;
+  using SubmissionKey = std::pair<SessionKey, SequenceNumber>;
 
   void OpenSession(const HttpRequest& request, const HttpResponder& responder);
-  void Submit(const SessionId& session, SequenceNumber sequence,
-              const HttpRequest& request, const HttpResponder& responder);
+  void Submit(const SubmissionKey& key, const HttpRequest& request,
+              const HttpResponder& responder);
+  // Returns why no new job is taken now, if so.
+  std::optional<Failure> CheckReadiness() const;
+  // Checks a submission and fills in `spec`; returns why it is refused, if so.
+  std::optional<Failure> PrepareJob(const std::string& team,
+                                    const std::string& body, JobSpec* spec);
+  void JoinJob(const SubmissionKey& key, const HttpResponder& responder);
   void StartNewJob(const SubmissionKey& key, const std::string& team,
                    const HttpRequest& request, const HttpResponder& responder);
-  void Cancel(const SessionId& session, SequenceNumber sequence,
-              const HttpResponder& responder);
+  void Cancel(const SubmissionKey& key, const HttpResponder& responder);
   void Finish(const SubmissionKey& key, const JobAnswer& answer);
-  void HandleJobPath(const HttpRequest& request,
+  void HandleJobPath(std::string_view path, const HttpRequest& request,
                      const HttpResponder& responder);
+  void AnswerReadiness(const HttpResponder& responder);
+  void RequireSession(const HttpResponder& responder);
+  void Refuse(const HttpResponder& responder, Failure failure);
+  // Refuses a request with a status that its reason does not imply.
+  void RefuseWithStatus(const HttpResponder& responder, int status,
+                        std::string detail, HttpHeaders headers = {});
+  void RefuseMethod(const HttpResponder& responder, const std::string& allowed);
   std::string NewRequestId();
 
   EventLoop* loop;
--- a/packages/state/src/caller_api.cc
+++ b/packages/state/src/caller_api.cc
@@ -3,10 +3,13 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <utility>
 
+#include "sequoiapath/protocol/assert.h"
 #include "sequoiapath/state/log.h"
 
 namespace sequoiapath {
@@ -17,6 +20,21 @@
 constexpr std::string_view kJobsPath = "/v1/jobs";
 constexpr std::string_view kReadyPath = "/v1/ready";
 constexpr std::string_view kJobsSegment = "/jobs/";
+constexpr std::string_view kJsonType = "application/json";
+
+constexpr int kStatusCreated = 201;
+constexpr int kStatusAccepted = 202;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusMethodNotAllowed = 405;
+constexpr int kStatusTooLarge = 413;
+constexpr int kStatusUnsupportedType = 415;
+
+// A team's waiting tasks may fill this fraction of the queue.
+constexpr std::size_t kTeamPartOfQueue = 2;
+// Each waiter holds a connection's state until the job ends.
+constexpr std::size_t kMaxWaitersPerJob = 64;
+// Bounds what an error message repeats of the request.
+constexpr std::size_t kMaxQuotedBytes = 64;
 
 HttpResponse JsonResponse(int status, std::string body) {
   return {status, {{"content-type", "application/json"}}, std::move(body)};
@@ -30,6 +48,31 @@
   return {Verdict::kNotRun, reason, retry, std::nullopt, std::move(detail)};
 }
 
+// Returns the start of a text from the request for use in an error message.
+std::string Quote(const std::string& text) {
+  return text.size() <= kMaxQuotedBytes
+             ? text
+             : text.substr(0, kMaxQuotedBytes) + "...";
+}
+
+// A missing content type is taken as JSON.
+bool IsJsonType(const HttpHeaders& headers) {
+  const auto type = FindHeader(headers, "content-type");
+  if (!type) return true;
+  std::string_view name = type->substr(0, type->find(';'));
+  while (name.ends_with(' ')) name.remove_suffix(1);
+  return std::equal(name.begin(), name.end(), kJsonType.begin(),
+                    kJsonType.end(), [](char a, char b) {
+                      return std::tolower(static_cast<unsigned char>(a)) == b;
+                    });
+}
+
+// Says whether a path has the form "/v1/sessions/{...}/jobs/{...}".
+bool IsJobPath(std::string_view path) {
+  return path.starts_with("/v1/sessions/") &&
+         path.find(kJobsSegment) != std::string_view::npos;
+}
+
 struct JobPath {
   std::string session;
   SequenceNumber sequence = 0;
@@ -48,7 +91,8 @@
   const std::string_view number = path.substr(jobs + kJobsSegment.size());
   const char* end = number.data() + number.size();
   const auto parsed = std::from_chars(number.data(), end, result.sequence);
-  if (parsed.ec != std::errc() || parsed.ptr != end || result.sequence == 0) {
+  if (parsed.ec != std::errc() || parsed.ptr != end || result.sequence == 0 ||
+      result.sequence > kMaxSequenceNumber) {
     return std::nullopt;
   }
   return result;
@@ -98,177 +142,279 @@
 
 CallerApi::CallerApi(EventLoop* loop, const Settings* settings,
                      Incarnation incarnation, JobRunner* runner)
-    : loop(loop),
-      settings(settings),
-      incarnation(incarnation),
-      runner(runner) {}
+    : loop(loop), settings(settings), incarnation(incarnation), runner(runner) {
+  this->sessions.incarnation = incarnation;
+  runner->SetAdmissionLimits(
+      {.max_waiting_tasks = settings->max_waiting_tasks,
+       .max_waiting_tasks_per_team =
+           settings->max_waiting_tasks / internal::kTeamPartOfQueue});
+}
 
 void CallerApi::SetCatalog(std::shared_ptr<const Catalog> catalog) {
   this->catalog = std::move(catalog);
 }
 
+std::vector<ExportedSession> CallerApi::ExportSessions() const {
+  SEQUOIAPATH_ASSERT(this->stopping,
+                     "sessions are exported while new jobs are still taken");
+  return sequoiapath::ExportSessions(this->sessions, this->loop->Now());
+}
+
+std::size_t CallerApi::ImportSessions(std::vector<ExportedSession> sessions) {
+  return sequoiapath::ImportSessions(&this->sessions, std::move(sessions),
+                                     this->loop->Now());
+}
+
+bool CallerApi::AnswersFor(Incarnation incarnation) const {
+  return sequoiapath::AnswersFor(this->sessions, incarnation);
+}
+
+void CallerApi::Refuse(const HttpResponder& responder, Failure failure) {
+  responder.Respond(
+      internal::AnswerResponse({this->NewRequestId(), std::move(failure)}));
+}
+
+void CallerApi::RefuseWithStatus(const HttpResponder& responder, int status,
+                                 std::string detail, HttpHeaders headers) {
+  HttpResponse response = internal::AnswerResponse(
+      {this->NewRequestId(),
+       internal::NotRun(Reason::kInvalidRequest, RetryAdvice::kNever,
+                        std::move(detail))});
+  response.status = status;
+  response.headers.insert(response.headers.end(), headers.begin(),
+                          headers.end());
+  responder.Respond(response);
+}
+
+void CallerApi::RefuseMethod(const HttpResponder& responder,
+                             const std::string& allowed) {
+  this->RefuseWithStatus(responder, internal::kStatusMethodNotAllowed,
+                         "this resource allows " + allowed,
+                         {{"allow", allowed}});
+}
+
 void CallerApi::Handle(const HttpRequest& request,
                        const HttpResponder& responder) {
-  if (request.path == internal::kReadyPath) {
-    const bool ready = this->catalog != nullptr && !this->stopping;
-    responder.Respond(internal::JsonResponse(
-        ready ? 200 : 503, ready ? R"({"ready":true})" : R"({"ready":false})"));
-  } else if (request.path == internal::kSessionsPath &&
-             request.method == "POST") {
-    this->OpenSession(request, responder);
-  } else if (request.path == internal::kJobsPath && request.method == "POST") {
-    responder.Respond(internal::AnswerResponse(
-        {this->NewRequestId(),
-         internal::NotRun(Reason::kSessionRequired, RetryAdvice::kNewSession,
-                          "open a session with POST /v1/sessions and submit "
-                          "with PUT under it")}));
-  } else {
-    this->HandleJobPath(request, responder);
+  std::string_view path = request.path;
+  path = path.substr(0, path.find('?'));
+  const bool reads = request.method == "GET" || request.method == "HEAD";
+  if (path == internal::kReadyPath) {
+    if (!reads) return this->RefuseMethod(responder, "GET, HEAD");
+    return this->AnswerReadiness(responder);
+  }
+  const bool sessions = path == internal::kSessionsPath;
+  const bool jobs = path == internal::kJobsPath;
+  if (!sessions && !jobs && !internal::IsJobPath(path)) {
+    return this->RefuseWithStatus(responder, internal::kStatusNotFound,
+                                  "no such resource");
+  }
+  if (request.body.size() > this->settings->max_request_bytes) {
+    return this->RefuseWithStatus(
+        responder, internal::kStatusTooLarge,
+        fmt::format("a body of {} bytes; {} are allowed", request.body.size(),
+                    this->settings->max_request_bytes));
   }
+  if (!request.body.empty() && !internal::IsJsonType(request.headers)) {
+    return this->RefuseWithStatus(responder, internal::kStatusUnsupportedType,
+                                  "the content type must be application/json");
+  }
+  if (!sessions && !jobs) return this->HandleJobPath(path, request, responder);
+  if (request.method != "POST") return this->RefuseMethod(responder, "POST");
+  if (sessions) return this->OpenSession(request, responder);
+  this->RequireSession(responder);
+}
+
+void CallerApi::AnswerReadiness(const HttpResponder& responder) {
+  const bool ready = this->catalog != nullptr && !this->stopping;
+  const nlohmann::json body{{"ready", ready},
+                            {"request_id", this->NewRequestId()}};
+  responder.Respond(internal::JsonResponse(ready ? 200 : 503, body.dump()));
+}
+
+void CallerApi::RequireSession(const HttpResponder& responder) {
+  this->Refuse(
+      responder,
+      internal::NotRun(Reason::kSessionRequired, RetryAdvice::kNewSession,
+                       "open a session with POST /v1/sessions and "
+                       "submit with PUT under it"));
 }
 
-void CallerApi::HandleJobPath(const HttpRequest& request,
+void CallerApi::HandleJobPath(std::string_view path, const HttpRequest& request,
                               const HttpResponder& responder) {
-  const auto path = internal::ParseJobPath(request.path);
-  if (!path || (request.method != "PUT" && request.method != "DELETE")) {
-    responder.Respond(internal::JsonResponse(
-        404, R"({"error":"no such resource or method"})"));
-    return;
+  if (request.method != "PUT" && request.method != "DELETE") {
+    return this->RefuseMethod(responder, "PUT, DELETE");
+  }
+  const auto job = internal::ParseJobPath(path);
+  if (!job) {
+    return this->Refuse(
+        responder,
+        internal::NotRun(Reason::kInvalidRequest, RetryAdvice::kNewSequence,
+                         fmt::format("the sequence number must be a whole "
+                                     "number within 1..{}",
+                                     kMaxSequenceNumber)));
   }
   const auto session =
-      DecodeSessionId(path->session, this->settings->cluster_key);
+      DecodeSessionId(job->session, this->settings->cluster_key);
   if (!session) {
-    responder.Respond(internal::AnswerResponse(
-        {this->NewRequestId(),
-         internal::NotRun(Reason::kInvalidRequest, RetryAdvice::kNewSession,
-                          "the session id is not valid")}));
-    return;
+    return this->Refuse(
+        responder,
+        internal::NotRun(Reason::kInvalidRequest, RetryAdvice::kNewSession,
+                         "the session id is not valid"));
   }
-  if (session->incarnation != this->incarnation) {
-    responder.Respond(internal::AnswerResponse(
-        {this->NewRequestId(),
-         Failure{Verdict::kMayHaveRun, Reason::kOwnerLost,
-                 RetryAdvice::kNewSession, std::nullopt,
-                 "the process that owned the session has ended"}}));
-    return;
+  if (!this->AnswersFor(session->incarnation)) {
+    return this->Refuse(
+        responder, Failure{Verdict::kMayHaveRun, Reason::kOwnerLost,
+                           RetryAdvice::kNewSession, std::nullopt,
+                           "the process that owned the session has ended"});
   }
+  const SubmissionKey key{{session->incarnation, session->counter},
+                          job->sequence};
   if (request.method == "PUT") {
-    this->Submit(*session, path->sequence, request, responder);
+    this->Submit(key, request, responder);
   } else {
-    this->Cancel(*session, path->sequence, responder);
+    this->Cancel(key, responder);
   }
 }
 
-void CallerApi::OpenSession(const HttpRequest& request,
-                            const HttpResponder& responder) {
-  const auto refuse = [&](Failure failure) {
-    responder.Respond(
-        internal::AnswerResponse({this->NewRequestId(), std::move(failure)}));
-  };
+std::optional<Failure> CallerApi::CheckReadiness() const {
   if (this->stopping) {
-    return refuse(internal::NotRun(Reason::kStopping, RetryAdvice::kNewSession,
-                                   "this daemon is stopping"));
+    return internal::NotRun(Reason::kStopping, RetryAdvice::kNewSession,
+                            "this daemon is stopping");
   }
   if (this->catalog == nullptr) {
-    return refuse(internal::NotRun(Reason::kNoConfiguration,
-                                   RetryAdvice::kNewSession,
-                                   "no configuration has been received yet"));
+    return internal::NotRun(Reason::kNoConfiguration, RetryAdvice::kNewSession,
+                            "no configuration has been received yet");
+  }
+  return std::nullopt;
+}
+
+void CallerApi::OpenSession(const HttpRequest& request,
+                            const HttpResponder& responder) {
+  if (auto failure = this->CheckReadiness()) {
+    return this->Refuse(responder, *std::move(failure));
   }
   const auto team = internal::ReadTeam(request.body);
   if (!team) {
-    return refuse(internal::NotRun(Reason::kInvalidRequest, RetryAdvice::kNever,
-                                   R"(expected a body like {"team":"name"})"));
+    return this->Refuse(
+        responder,
+        internal::NotRun(Reason::kInvalidRequest, RetryAdvice::kNever,
+                         R"(expected a body like {"team":"name"})"));
   }
   if (FindTeam(*this->catalog, *team) == nullptr) {
-    return refuse(internal::NotRun(Reason::kUnknownTeam, RetryAdvice::kNever,
-                                   fmt::format("no team \"{}\"", *team)));
+    return this->Refuse(
+        responder, internal::NotRun(
+                       Reason::kUnknownTeam, RetryAdvice::kNever,
+                       fmt::format("no team \"{}\"", internal::Quote(*team))));
   }
   const auto opened =
       sequoiapath::OpenSession(&this->sessions, *team, this->loop->Now());
-  if (const Failure* failure = GetFailure(opened)) return refuse(*failure);
+  if (const Failure* failure = GetFailure(opened)) {
+    return this->Refuse(responder, *failure);
+  }
   const SessionId id{this->settings->data_centre, this->settings->vm,
                      this->settings->peer_listen, this->incarnation,
-                     std::get<std::uint64_t>(opened)};
+                     std::get<SessionKey>(opened).counter};
   const nlohmann::json body{
-      {"session", EncodeSessionId(id, this->settings->cluster_key)}};
-  responder.Respond(internal::JsonResponse(201, body.dump()));
+      {"session", EncodeSessionId(id, this->settings->cluster_key)},
+      {"request_id", this->NewRequestId()}};
+  responder.Respond(
+      internal::JsonResponse(internal::kStatusCreated, body.dump()));
 }
 
-void CallerApi::Submit(const SessionId& session, SequenceNumber sequence,
-                       const HttpRequest& request,
+void CallerApi::Submit(const SubmissionKey& key, const HttpRequest& request,
                        const HttpResponder& responder) {
-  const SubmissionKey key{session.counter, sequence};
-  SubmissionDecision decision = AdmitSubmission(
-      &this->sessions, session.counter, sequence, this->loop->Now());
+  const TimePoint now = this->loop->Now();
+  ExpireSessions(&this->sessions, now);
+  // The number is not recorded, so that the successor or a later submission may
+  // still start it.
+  if (WouldStart(this->sessions, key.first, key.second, now)) {
+    if (auto failure = this->CheckReadiness()) {
+      failure->retry = RetryAdvice::kSameSequence;
+      return this->Refuse(responder, *std::move(failure));
+    }
+  }
+  SubmissionDecision decision =
+      AdmitSubmission(&this->sessions, key.first, key.second, now);
   if (const auto* start = std::get_if<StartJob>(&decision)) {
     this->StartNewJob(key, start->team, request, responder);
   } else if (std::holds_alternative<JoinRunningJob>(decision)) {
-    this->waiters[key].push_back(responder);
+    this->JoinJob(key, responder);
   } else if (auto* stored = std::get_if<StoredAnswer>(&decision)) {
     responder.Respond(
         internal::JsonResponse(stored->status, std::move(stored->body)));
   } else {
-    responder.Respond(internal::AnswerResponse(
-        {this->NewRequestId(), std::get<Failure>(std::move(decision))}));
+    this->Refuse(responder, std::get<Failure>(std::move(decision)));
   }
 }
 
-void CallerApi::StartNewJob(const SubmissionKey& key, const std::string& team,
-                            const HttpRequest& request,
-                            const HttpResponder& responder) {
-  this->waiters[key].push_back(responder);
-  const std::string request_id = this->NewRequestId();
-  const auto refuse = [&](Failure failure) {
-    this->Finish(key, {request_id, std::move(failure)});
-  };
-  if (this->stopping) {
-    return refuse(internal::NotRun(Reason::kStopping, RetryAdvice::kNewSession,
-                                   "this daemon is stopping"));
+void CallerApi::JoinJob(const SubmissionKey& key,
+                        const HttpResponder& responder) {
+  auto& waiting = this->waiters[key];
+  if (waiting.size() >= internal::kMaxWaitersPerJob) {
+    return this->Refuse(responder,
+                        Failure{Verdict::kMayHaveRun, Reason::kOverloaded,
+                                RetryAdvice::kSameSequence, std::nullopt,
+                                "too many requests wait for this submission"});
   }
-  Result<JobRequest> decoded = DecodeJobRequest(request.body);
-  if (const Failure* failure = GetFailure(decoded)) return refuse(*failure);
+  waiting.push_back(responder);
+}
+
+std::optional<Failure> CallerApi::PrepareJob(const std::string& team,
+                                             const std::string& body,
+                                             JobSpec* spec) {
+  Result<JobRequest> decoded = DecodeJobRequest(body);
+  if (const Failure* failure = GetFailure(decoded)) return *failure;
   auto& job = std::get<JobRequest>(decoded);
   const ServiceSpec* service = FindService(*this->catalog, job.service);
   if (service == nullptr) {
-    return refuse(
-        internal::NotRun(Reason::kUnknownService, RetryAdvice::kNever,
-                         fmt::format("no service \"{}\"", job.service)));
-  }
-  if (const auto failure = internal::CheckLimits(job, *service)) {
-    return refuse(*failure);
+    return internal::NotRun(
+        Reason::kUnknownService, RetryAdvice::kNever,
+        fmt::format("no service \"{}\"", internal::Quote(job.service)));
   }
+  if (auto failure = internal::CheckLimits(job, *service)) return failure;
   if (!internal::FitsAnyWorker(job, *this->catalog)) {
-    return refuse(internal::NotRun(
+    return internal::NotRun(
         Reason::kNeverFits, RetryAdvice::kNever,
-        "no configured worker has the resources at the places asked for"));
-  }
-  if (this->runner->WaitingTasks() + job.payloads.size() >
-      this->settings->max_waiting_tasks) {
-    return refuse(internal::NotRun(Reason::kOverloaded,
-                                   RetryAdvice::kNewSequence,
-                                   "too many tasks are waiting"));
+        "no configured worker has the resources at the places asked for");
   }
-  const TeamSpec* spec = FindTeam(*this->catalog, team);
+  const TeamSpec* team_spec = FindTeam(*this->catalog, team);
   const auto allowed =
       std::min(job.deadline.value_or(service->deadline), service->deadline);
+  spec->team = team;
+  spec->weight = team_spec == nullptr ? 1 : team_spec->weight;
+  spec->service = *service;
+  spec->request = std::move(job);
+  spec->deadline = this->loop->Now() + allowed;
+  return this->runner->CheckAdmission(*spec);
+}
+
+void CallerApi::StartNewJob(const SubmissionKey& key, const std::string& team,
+                            const HttpRequest& request,
+                            const HttpResponder& responder) {
+  this->waiters[key].push_back(responder);
+  JobSpec spec;
+  spec.request_id = this->NewRequestId();
+  if (auto failure = this->PrepareJob(team, request.body, &spec)) {
+    this->Finish(key, {spec.request_id, *std::move(failure)});
+    return;
+  }
   this->running[key] = this->runner->Start(
-      {.request_id = request_id,
-       .team = team,
-       .weight = spec == nullptr ? 1 : spec->weight,
-       .service = *service,
-       .request = std::move(job),
-       .deadline = this->loop->Now() + allowed},
+      std::move(spec),
       [this, key](const JobAnswer& answer) { this->Finish(key, answer); });
 }
 
-void CallerApi::Cancel(const SessionId& session, SequenceNumber sequence,
+void CallerApi::Cancel(const SubmissionKey& key,
                        const HttpResponder& responder) {
-  const auto it = this->running.find({session.counter, sequence});
-  const bool found = it != this->running.end();
-  if (found) this->runner->Cancel(it->second);
-  responder.Respond(internal::JsonResponse(
-      found ? 202 : 404,
-      found ? R"({"cancelling":true})" : R"({"error":"no such running job"})"));
+  const auto it = this->running.find(key);
+  if (it == this->running.end()) {
+    return this->RefuseWithStatus(responder, internal::kStatusNotFound,
+                                  "no such running job");
+  }
+  this->runner->Cancel(it->second);
+  const nlohmann::json body{{"cancelling", true},
+                            {"request_id", this->NewRequestId()}};
+  responder.Respond(
+      internal::JsonResponse(internal::kStatusAccepted, body.dump()));
 }
 
 void CallerApi::Finish(const SubmissionKey& key, const JobAnswer& answer) {
--- a/tests/error/job_runner_test.cc
+++ b/tests/error/job_runner_test.cc
@@ -83,8 +83,8 @@
   harness->runner.SetCatalog(MakeCatalog(record, harness->document));
 }
 
-JobId StartJob(Harness* harness, int tasks, milliseconds deadline,
-               bool idempotent = false) {
+JobSpec MakeSpec(Harness* harness, int tasks, milliseconds deadline,
+                 bool idempotent = false) {
   JobSpec spec;
   spec.request_id = "r";
   spec.team = "clerks";
@@ -94,9 +94,15 @@
     spec.request.payloads.push_back(std::to_string(i));
   }
   spec.deadline = harness->loop.Now() + deadline;
-  return harness->runner.Start(std::move(spec), [harness](JobAnswer answer) {
-    harness->answers.push_back(std::move(answer));
-  });
+  return spec;
+}
+
+JobId StartJob(Harness* harness, int tasks, milliseconds deadline,
+               bool idempotent = false) {
+  return harness->runner.Start(MakeSpec(harness, tasks, deadline, idempotent),
+                               [harness](JobAnswer answer) {
+                                 harness->answers.push_back(std::move(answer));
+                               });
 }
 
 // Runs one job to its answer.
@@ -426,5 +432,38 @@
   EXPECT_EQ(phase.tasks_in_silence, 1);
 }
 
+// A job that would wait beyond its deadline is refused before a start (G4); the
+// run times are learnt first.
+TEST(JobRunnerTest, OverloadIsRefusedOnceRunTimesAreKnown) {
+  Arrivals arrivals;
+  RawServer worker(Worker(&arrivals, [](int fd, const std::string& request) {
+    std::this_thread::sleep_for(milliseconds(20));
+    return Succeed(fd, request);
+  }));
+  Harness harness;
+  AddWorker(&harness, worker.endpoint, /*slots=*/2);
+  ApplyDocument(&harness);
+  StartJob(&harness, 400, milliseconds(20'000));
+  RunFor(&harness.loop, milliseconds(5));
+  EXPECT_FALSE(
+      harness.runner.CheckAdmission(MakeSpec(&harness, 1, milliseconds(500)))
+          .has_value())
+      << "refused without an observed run time";
+  ASSERT_TRUE(RunUntil(&harness.loop, [&] { return arrivals.tasks > 40; }));
+  const auto refused =
+      harness.runner.CheckAdmission(MakeSpec(&harness, 1, milliseconds(500)));
+  ASSERT_TRUE(refused.has_value());
+  EXPECT_EQ(refused->reason, Reason::kOverloaded);
+  EXPECT_EQ(refused->verdict, Verdict::kNotRun);
+  // About 360 tasks of 20 ms wait for 2 slots: 3.6 s.
+  EXPECT_GT(refused->retry_after, milliseconds(2000));
+  EXPECT_FALSE(
+      harness.runner.CheckAdmission(MakeSpec(&harness, 1, milliseconds(15'000)))
+          .has_value());
+  JobSpec urgent = MakeSpec(&harness, 1, milliseconds(500));
+  urgent.request.priority = Priority::kUrgent;
+  EXPECT_FALSE(harness.runner.CheckAdmission(urgent).has_value());
+}
+
 }  // namespace
 }  // namespace sequoiapath
