--- a/packages/coordination/include/sequoiapath/coordination/task_queue.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_queue.h
@@ -1,5 +1,5 @@
-// Defines TaskQueue, the bounded queue of tasks that wait for a free worker
-// slot.
+// Defines TaskQueue, the queue of tasks that wait for a free worker slot, with
+// preference by priority and fair shares by team.
 
 #ifndef SEQUOIAPATH_COORDINATION_TASK_QUEUE_H_
 #define SEQUOIAPATH_COORDINATION_TASK_QUEUE_H_
@@ -11,8 +11,10 @@
 #include <functional>
 #include <list>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "sequoiapath/coordination/share_ledger.h"
 #include "sequoiapath/protocol/job.h"
@@ -37,18 +39,57 @@
   std::uint32_t index = 0;  // Position in the submission.
 };
 
+struct PlacementQueue;
+
 struct QueuedGroup {
   TaskGroup group;
   std::uint32_t next_index = 0;        // First task never taken.
   std::deque<std::uint32_t> returned;  // Taken, not run and put back.
+  std::string placement_key;
+  // Place in the queue; null while no task waits.
+  PlacementQueue* queue = nullptr;
+  std::list<QueuedGroup*>::iterator position;
+};
+
+// Jobs of one team and placement: if the first cannot run, none can.
+struct PlacementQueue {
+  std::string key;
+  std::list<QueuedGroup*> jobs;
+};
+
+// Start-time fair queueing: a team's next task starts at virtual time `start`,
+// and each task moves it on by 1 / weight.
+struct TeamQueue {
+  std::string team;
+  double start = 0;
+  std::list<PlacementQueue> placements;  // With waiting jobs only.
+  std::unordered_map<std::string, std::list<PlacementQueue>::iterator> by_key;
 };
 
+struct PriorityQueue {
+  std::unordered_map<std::string, TeamQueue> teams;
+  std::set<std::pair<double, TeamQueue*>> waiting;  // By start.
+  double virtual_time = 0;
+  double credit = 0;  // One task of this class goes first at 1.
+};
+
+// Not copyable, because queues point to each other.
 struct TaskQueue {
-  std::array<std::list<QueuedGroup>, kPriorityCount> classes;
-  std::unordered_map<JobId, std::list<QueuedGroup>::iterator> by_job;
+  TaskQueue() = default;
+  TaskQueue(const TaskQueue&) = delete;
+  TaskQueue& operator=(const TaskQueue&) = delete;
+
+  std::array<PriorityQueue, kPriorityCount> classes;
+  std::unordered_map<JobId, QueuedGroup> jobs;
   std::size_t waiting = 0;  // Number of waiting tasks.
 };
 
+// The least share of task starts that a class gets while it has work and more
+// urgent classes do, too. Urgent needs none.
+constexpr std::array<double, kPriorityCount> kMinimumShare = {0, 0.1, 0.05};
+
+// Thread safety of all functions: one thread at a time.
+
 // Adds the tasks 0 to task_count - 1 of a new job.
 void EnqueueGroup(TaskQueue* queue, TaskGroup group);
 
@@ -59,10 +100,14 @@
 // Drops all waiting tasks of a job in constant time. The job may be unknown.
 void RemoveGroup(TaskQueue* queue, JobId job);
 
-// Takes the next task whose placement `acquire` accepts. `acquire` is called at
-// most once for each waiting job and must take the resources when it accepts.
+// Takes the next task whose placement `acquire` accepts. `acquire` must take
+// the resources when it accepts; it is called at most once for each team and
+// placement of a priority, however many jobs wait. With `team_allowed`, which
+// says whether a team has quota left, a refusal by `acquire` counts for the
+// placement in all teams. Jobs of one team and placement take turns.
 std::optional<QueuedTask> TakeNext(
-    TaskQueue* queue, const std::function<bool(const TaskGroup&)>& acquire);
+    TaskQueue* queue, const std::function<bool(const TaskGroup&)>& acquire,
+    const std::function<bool(const std::string& team)>& team_allowed = {});
 
 }  // namespace sequoiapath
 
--- a/packages/coordination/src/share_ledger.cc
+++ b/packages/coordination/src/share_ledger.cc
@@ -1,9 +1,399 @@
 #include "sequoiapath/coordination/share_ledger.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cmath>
+#include <utility>
+
+#include "sequoiapath/coordination/internal_assert.h"
 
 namespace sequoiapath {
+namespace internal {
+namespace {
+
+// Rosters kept to judge late reports; a peer that is further behind has to
+// report the current epoch first.
+constexpr std::size_t kRosterHistory = 16;
+
+bool AcceptAny(const UnitPool& /*pool*/) { return true; }
+
+// Borrowed units are not lent on: their lender could not recall them.
+bool IsOwn(const UnitPool& pool) { return pool.loan == 0; }
+
+UnitPool* PoolById(ShareLedger* ledger, PoolId id) {
+  const auto it = ledger->index.pools.find(id);
+  SEQUOIAPATH_ASSERT(it != ledger->index.pools.end(), "no pool {} on VM {}", id,
+                     ledger->self);
+  return &it->second;
+}
+
+// Adds the classes from number `first` on that fit to the candidates.
+void MapClasses(const ShareLedger& ledger, const Placement& placement,
+                std::size_t first, ShareLedger::PlacementClasses* mapped) {
+  mapped->units_by_class.resize(ledger.index.classes.size());
+  for (std::size_t i = first; i < ledger.index.classes.size(); ++i) {
+    const WorkerSpec& spec = ledger.index.classes[i].spec;
+    if (spec.name.empty() || !AllowsPlace(placement, spec)) continue;
+    const auto units = UnitsFor(spec, placement.demand);
+    if (!units) continue;
+    mapped->candidates.push_back({i, *units});
+    mapped->units_by_class[i] = *units;
+  }
+}
+
+const ShareLedger::PlacementClasses& ClassesFor(ShareLedger* ledger,
+                                                const Placement& placement) {
+  // Submissions choose their placements, so the cache must be bounded.
+  constexpr std::size_t kMaxPlacements = 4096;
+  if (ledger->placement_classes.size() >= kMaxPlacements) {
+    ledger->placement_classes.clear();
+  }
+  if (ledger->classes_mapped < ledger->index.classes.size()) {
+    for (auto& [known, mapped] : ledger->placement_classes) {
+      MapClasses(*ledger, known, ledger->classes_mapped, &mapped);
+    }
+    ledger->classes_mapped = ledger->index.classes.size();
+  }
+  const auto it = ledger->placement_classes.find(placement);
+  if (it != ledger->placement_classes.end()) return it->second;
+  auto& mapped = ledger->placement_classes[placement];
+  MapClasses(*ledger, placement, 0, &mapped);
+  return mapped;
+}
+
+struct Choice {
+  UnitPool* pool = nullptr;
+  Units units;
+};
+
+using AcceptPool = std::function<bool(const UnitPool&)>;
+
+// Chooses the least loaded worker of a few classes.
+Choice ChooseOfClasses(ShareLedger* ledger,
+                       const ShareLedger::PlacementClasses& classes,
+                       const AcceptPool& accepts) {
+  Choice best;
+  for (const auto& [unit_class, units] : classes.candidates) {
+    // A class whose least loaded worker is busier cannot improve the choice.
+    const std::size_t level = ledger->index.classes[unit_class].level;
+    const int least = best.pool == nullptr ? 0 : FreeUnits(*best.pool).slots;
+    if (static_cast<int>(level) <= least) continue;
+    UnitPool* pool = FindPool(&ledger->index, unit_class, units, accepts);
+    if (pool == nullptr || FreeUnits(*pool).slots <= least) continue;
+    best = {pool, units};
+  }
+  return best;
+}
+
+// Walks the classes from the least loaded on. The first one that accepts is
+// best, apart from classes whose least loaded worker was not acceptable.
+Choice ChooseByLevel(ShareLedger* ledger,
+                     const ShareLedger::PlacementClasses& classes,
+                     const AcceptPool& accepts) {
+  for (std::size_t level = ledger->index.levels.size(); level-- > 1;) {
+    for (const std::size_t unit_class : ledger->index.levels[level]) {
+      const Units& units = classes.units_by_class[unit_class];
+      if (units.slots == 0 || static_cast<int>(level) < units.slots) continue;
+      UnitPool* pool = FindPool(&ledger->index, unit_class, units, accepts);
+      if (pool != nullptr) return {pool, units};
+    }
+  }
+  return {};
+}
+
+Choice ChooseWorker(ShareLedger* ledger, const Placement& placement,
+                    const std::function<bool(const std::string&)>& eligible) {
+  const AcceptPool accepts = [&eligible](const UnitPool& pool) {
+    return eligible(pool.resource.name);
+  };
+  const auto& classes = ClassesFor(ledger, placement);
+  // Up to here the candidates cost less than the walk over all classes.
+  constexpr std::size_t kFewClasses = 8;
+  return classes.candidates.size() <= kFewClasses
+             ? ChooseOfClasses(ledger, classes, accepts)
+             : ChooseByLevel(ledger, classes, accepts);
+}
+
+void ChangeInUse(ShareLedger* ledger, UnitPool* pool, const Units& units) {
+  pool->in_use = pool->in_use + units;
+  Reindex(&ledger->index, pool);
+}
+
+void DropBorrowed(ShareLedger* ledger, const UnitPool& pool) {
+  ledger->loan_ends.erase({pool.loan_end, pool.id});
+  ledger->borrowed.erase({pool.lender, pool.loan});
+  RemovePool(&ledger->index, pool.id);
+}
+
+// Returns the free units of a borrowed pool to the lender.
+void ShrinkBorrowed(ShareLedger* ledger, UnitPool* pool) {
+  if (pool->capacity == pool->in_use) return;
+  pool->capacity = pool->in_use;
+  ledger->returns.push_back({pool->lender, pool->loan, pool->capacity});
+  if (IsZero(pool->capacity)) {
+    DropBorrowed(ledger, *pool);
+  } else {
+    Reindex(&ledger->index, pool);
+  }
+}
+
+void EndDueLoans(ShareLedger* ledger, TimePoint now) {
+  while (!ledger->loan_ends.empty() &&
+         ledger->loan_ends.begin()->first <= now) {
+    UnitPool* pool = PoolById(ledger, ledger->loan_ends.begin()->second);
+    ledger->loan_ends.erase(ledger->loan_ends.begin());
+    pool->usable = false;
+    Reindex(&ledger->index, pool);
+    ShrinkBorrowed(ledger, pool);
+  }
+}
+
+void TakeBack(ShareLedger* ledger, LoanId id, const Units& kept) {
+  const auto it = ledger->lent.find(id);
+  LentLoan& loan = it->second;
+  UnitPool* pool = PoolById(ledger, loan.pool);
+  const Units back = loan.units - kept;
+  SEQUOIAPATH_ASSERT(Covers(pool->lent, back),
+                     "VM {} takes back {} slots of {}, but has lent {}",
+                     ledger->self, back.slots, ToString(pool->resource),
+                     pool->lent.slots);
+  pool->lent = pool->lent - back;
+  loan.units = kept;
+  Reindex(&ledger->index, pool);
+  if (!IsZero(kept)) return;
+  ledger->reclaims.erase({loan.reclaim, id});
+  ledger->lent.erase(it);
+}
+
+void ReclaimDueLoans(ShareLedger* ledger, TimePoint now) {
+  while (!ledger->reclaims.empty() && ledger->reclaims.begin()->first <= now) {
+    TakeBack(ledger, ledger->reclaims.begin()->second, {});
+  }
+}
+
+// Says whether `vm` may still hold or come to hold `resource`, judged by its
+// last report.
+bool MayHold(const ShareLedger& ledger, const std::string& vm,
+             const ResourceId& resource, TimePoint now) {
+  const auto unlisted = ledger.unlisted_since.find(vm);
+  if (unlisted != ledger.unlisted_since.end() &&
+      now - unlisted->second >= HoldDown(ledger.times)) {
+    return false;
+  }
+  const auto it = ledger.reports.find(vm);
+  if (it == ledger.reports.end() || it->second.settling) return true;
+  const ShareReport& report = it->second;
+  if (std::find(report.unreleased.begin(), report.unreleased.end(), resource) !=
+      report.unreleased.end()) {
+    return true;
+  }
+  // It holds nothing of this resource now; it could acquire it only as the
+  // owner under a roster from its own on.
+  for (std::uint64_t epoch = report.roster_epoch; epoch < ledger.roster.epoch;
+       ++epoch) {
+    const auto roster = ledger.roster_history.find(epoch);
+    if (roster == ledger.roster_history.end() ||
+        OwnerOf(roster->second, ToString(resource)) == vm) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool MayAcquire(const ShareLedger& ledger, const ResourceId& resource,
+                TimePoint now) {
+  const auto blocks = [&](const std::string& vm) {
+    return vm != ledger.self && MayHold(ledger, vm, resource, now);
+  };
+  return std::none_of(ledger.roster.members.begin(),
+                      ledger.roster.members.end(), blocks) &&
+         std::none_of(ledger.roster.former.begin(), ledger.roster.former.end(),
+                      blocks);
+}
+
+// A greater epoch at a peer means that this VM's roster is out of date.
+bool IsBehind(const ShareLedger& ledger) {
+  return std::any_of(ledger.reports.begin(), ledger.reports.end(),
+                     [&ledger](const auto& entry) {
+                       return entry.second.roster_epoch > ledger.roster.epoch;
+                     });
+}
+
+void AddOwnPool(ShareLedger* ledger, const ResourceId& resource,
+                OwnedResource* owned) {
+  UnitPool pool;
+  pool.resource = resource;
+  pool.capacity = ledger->resources.at(resource);
+  if (resource.kind == ResourceId::Kind::kWorker) {
+    const WorkerSpec& spec = ledger->workers.at(resource.name);
+    pool.unit_class = WorkerClass(&ledger->index, spec);
+    pool.usable = !spec.leaving;
+  } else {
+    pool.unit_class = QuotaClass(&ledger->index, resource.name);
+    pool.usable = true;
+  }
+  owned->pool = AddPool(&ledger->index, std::move(pool))->id;
+  owned->ownership = Ownership::kHeld;
+}
+
+void AcquirePending(ShareLedger* ledger, TimePoint now) {
+  if (ledger->pending.empty() || now < ledger->settled_at || IsBehind(*ledger))
+    return;
+  for (auto it = ledger->pending.begin(); it != ledger->pending.end();) {
+    if (!MayAcquire(*ledger, *it, now)) {
+      ++it;
+      continue;
+    }
+    AddOwnPool(ledger, *it, &ledger->owned.at(*it));
+    it = ledger->pending.erase(it);
+  }
+}
+
+void ReleaseIdle(ShareLedger* ledger) {
+  for (auto it = ledger->releasing.begin(); it != ledger->releasing.end();) {
+    const PoolId id = ledger->owned.at(*it).pool;
+    const UnitPool* pool = PoolById(ledger, id);
+    if (!IsZero(pool->in_use) || !IsZero(pool->lent)) {
+      ++it;
+      continue;
+    }
+    RemovePool(&ledger->index, id);
+    ledger->owned.erase(*it);
+    it = ledger->releasing.erase(it);
+  }
+}
+
+bool ShouldOwn(const ShareLedger& ledger, const ResourceId& resource) {
+  return ledger.resources.contains(resource) && !ledger.self.empty() &&
+         OwnerOf(ledger.roster, ToString(resource)) == ledger.self;
+}
+
+// Stops new starts on a resource that this VM has to give up. Also recalls its
+// loans, so that it is released as early as possible.
+void StartReleasing(ShareLedger* ledger, const ResourceId& resource,
+                    OwnedResource* owned) {
+  owned->ownership = Ownership::kReleasing;
+  ledger->releasing.insert(resource);
+  UnitPool* pool = PoolById(ledger, owned->pool);
+  pool->usable = false;
+  Reindex(&ledger->index, pool);
+  for (auto& [id, loan] : ledger->lent) {
+    if (loan.pool == owned->pool) loan.recalled = true;
+  }
+}
+
+// A resource that comes back before it was released was never anyone else's.
+void KeepHeld(ShareLedger* ledger, const ResourceId& resource,
+              OwnedResource* owned) {
+  ledger->releasing.erase(resource);
+  owned->ownership = Ownership::kHeld;
+  UnitPool* pool = PoolById(ledger, owned->pool);
+  pool->capacity = ledger->resources.at(resource);
+  pool->usable = true;
+  if (resource.kind == ResourceId::Kind::kWorker) {
+    const WorkerSpec& spec = ledger->workers.at(resource.name);
+    pool->usable = !spec.leaving;
+    const std::size_t unit_class = WorkerClass(&ledger->index, spec);
+    if (unit_class != pool->unit_class) {
+      pool->usable = false;
+      Reindex(&ledger->index, pool);
+      pool->unit_class = unit_class;
+      pool->usable = !spec.leaving;
+    }
+  }
+  Reindex(&ledger->index, pool);
+}
+
+void ReviseOwnership(ShareLedger* ledger) {
+  for (auto it = ledger->owned.begin(); it != ledger->owned.end();) {
+    auto& [resource, owned] = *it;
+    const bool keep = ShouldOwn(*ledger, resource);
+    if (owned.ownership == Ownership::kPending && !keep) {
+      ledger->pending.erase(resource);
+      it = ledger->owned.erase(it);
+      continue;
+    }
+    if (owned.ownership != Ownership::kPending && keep) {
+      KeepHeld(ledger, resource, &owned);
+    } else if (owned.ownership == Ownership::kHeld) {
+      StartReleasing(ledger, resource, &owned);
+    }
+    ++it;
+  }
+  for (const auto& [resource, capacity] : ledger->resources) {
+    if (!ShouldOwn(*ledger, resource)) continue;
+    if (ledger->owned.try_emplace(resource).second) {
+      ledger->pending.insert(resource);
+    }
+  }
+}
+
+// Returns the part of `quota` between two cumulative shares of `total`.
+int ShareOf(std::int64_t quota, std::int64_t from, std::int64_t to,
+            std::int64_t total) {
+  return static_cast<int>(quota * to / total - quota * from / total);
+}
+
+void AddQuotaParts(ShareLedger* ledger, const TeamSpec& team,
+                   std::int64_t slots_before, std::int64_t slots,
+                   std::int64_t all_slots) {
+  ledger->quota_classes[team.name] = QuotaClass(&ledger->index, team.name);
+  const int quota = all_slots == 0 ? 0
+                                   : ShareOf(team.quota, slots_before,
+                                             slots_before + slots, all_slots);
+  for (int part = 0; part < kQuotaParts; ++part) {
+    const int units = ShareOf(quota, part, part + 1, kQuotaParts);
+    ledger->resources[{ResourceId::Kind::kQuota, team.name, part}] = {units, 0};
+  }
+}
+
+// Lends up to `wanted` times `each` from usable own pools of one class.
+void LendFromClass(ShareLedger* ledger, const std::string& borrower,
+                   std::size_t unit_class, const Units& each, int* wanted,
+                   TimePoint now, std::vector<Grant>* grants) {
+  while (*wanted > 0) {
+    UnitPool* pool = FindPool(&ledger->index, unit_class, each, IsOwn);
+    if (pool == nullptr) return;
+    const Units free = FreeUnits(*pool);
+    int count = std::min(*wanted, free.slots / std::max(each.slots, 1));
+    if (each.accelerators > 0) {
+      count = std::min(count, free.accelerators / each.accelerators);
+    }
+    const Units units{each.slots * count, each.accelerators * count};
+    const LoanId id = ledger->next_loan++;
+    const TimePoint reclaim =
+        now + ledger->times.loan + ledger->times.longest_task_lease;
+    pool->lent = pool->lent + units;
+    Reindex(&ledger->index, pool);
+    ledger->lent[id] = {borrower, pool->id, units, reclaim, false};
+    ledger->reclaims.insert({reclaim, id});
+    grants->push_back({id, pool->resource, units, ledger->times.loan});
+    *wanted -= count;
+  }
+}
+
+}  // namespace
+}  // namespace internal
+
+using internal::PoolById;
+
+std::size_t PlacementHash::operator()(const Placement& placement) const {
+  const auto mix = [](std::size_t seed, std::size_t value) {
+    return (seed ^ value) * 0x9E3779B97F4A7C15ULL;  // 2^64 / golden ratio.
+  };
+  std::size_t hash = std::hash<double>{}(placement.demand.cores);
+  hash = mix(hash, static_cast<std::size_t>(placement.demand.memory_mb));
+  hash = mix(hash, static_cast<std::size_t>(placement.demand.accelerators));
+  for (const std::string& place : placement.places) {
+    hash = mix(hash, std::hash<std::string>{}(place));
+  }
+  return hash;
+}
+
+Duration HoldDown(const ShareTimes& times) {
+  return times.loan + times.longest_task_lease;
+}
 
 std::optional<Units> UnitsFor(const WorkerSpec& worker, const Demand& demand) {
   double slots = 1;
@@ -33,45 +423,312 @@
 }
 
 void SetWorkers(ShareLedger* ledger, const std::vector<WorkerSpec>& workers) {
-  std::map<std::string, WorkerAccount> accounts;
+  if (ledger->self.empty()) ledger->self = "self";
+  ledger->workers.clear();
+  ledger->resources.clear();
   for (const WorkerSpec& worker : workers) {
-    WorkerAccount account{worker, {}};
-    const auto old = ledger->workers.find(worker.name);
-    if (old != ledger->workers.end()) account.in_use = old->second.in_use;
-    accounts.emplace(worker.name, std::move(account));
+    ledger->workers[worker.name] = worker;
+    ledger->resources[{ResourceId::Kind::kWorker, worker.name}] = {
+        worker.slots, worker.accelerators};
   }
-  ledger->workers = std::move(accounts);
+  ledger->roster = {1, {ledger->self}, {}};
+  internal::ReviseOwnership(ledger);
+  internal::AcquirePending(ledger, ledger->settled_at);
+  internal::ReleaseIdle(ledger);
+}
+
+bool HasQuota(ShareLedger* ledger, const std::string& team, TimePoint now) {
+  internal::EndDueLoans(ledger, now);
+  const auto it = ledger->quota_classes.find(team);
+  return it == ledger->quota_classes.end() ||
+         FindPool(&ledger->index, it->second, {1, 0}, internal::AcceptAny) !=
+             nullptr;
 }
 
 std::optional<HeldUnits> AcquireUnits(
-    ShareLedger* ledger, const Placement& placement,
+    ShareLedger* ledger, const std::string& team, const Placement& placement,
+    TimePoint now,
     const std::function<bool(const std::string& worker)>& eligible) {
-  WorkerAccount* best = nullptr;
-  Units best_units;
-  for (auto& [name, account] : ledger->workers) {
-    if (account.spec.leaving || !AllowsPlace(placement, account.spec)) continue;
-    const auto units = UnitsFor(account.spec, placement.demand);
-    if (!units || account.in_use.slots + units->slots > account.spec.slots ||
-        account.in_use.accelerators + units->accelerators >
-            account.spec.accelerators) {
+  internal::EndDueLoans(ledger, now);
+  UnitPool* quota = nullptr;
+  const auto quota_class = ledger->quota_classes.find(team);
+  if (quota_class != ledger->quota_classes.end()) {
+    quota = FindPool(&ledger->index, quota_class->second, {1, 0},
+                     internal::AcceptAny);
+    if (quota == nullptr) return std::nullopt;
+  }
+  const internal::Choice choice =
+      internal::ChooseWorker(ledger, placement, eligible);
+  if (choice.pool == nullptr) return std::nullopt;
+  internal::ChangeInUse(ledger, choice.pool, choice.units);
+  HeldUnits held{choice.pool->resource.name, choice.units, choice.pool->id, 0};
+  if (quota != nullptr) {
+    internal::ChangeInUse(ledger, quota, {1, 0});
+    held.quota_pool = quota->id;
+  }
+  return held;
+}
+
+void ReleaseUnits(ShareLedger* ledger, const HeldUnits& held) {
+  const auto release = [ledger](PoolId id, const Units& units) {
+    UnitPool* pool = PoolById(ledger, id);
+    SEQUOIAPATH_ASSERT(Covers(pool->in_use, units),
+                       "VM {} releases {} slots of {}, but uses {}",
+                       ledger->self, units.slots, ToString(pool->resource),
+                       pool->in_use.slots);
+    internal::ChangeInUse(ledger, pool, Units{} - units);
+    if (pool->loan != 0 && !pool->usable) {
+      internal::ShrinkBorrowed(ledger, pool);
+    }
+  };
+  release(held.worker_pool, held.units);
+  if (held.quota_pool != 0) release(held.quota_pool, {1, 0});
+  if (!ledger->releasing.empty()) internal::ReleaseIdle(ledger);
+}
+
+void BeginShares(ShareLedger* ledger, std::string self, const ShareTimes& times,
+                 std::uint64_t incarnation, bool restarted, TimePoint now) {
+  ledger->self = std::move(self);
+  ledger->next_loan = incarnation;
+  ledger->times = times;
+  // Not only the task lease: a predecessor's borrower may start a task at the
+  // end of its loan.
+  ledger->settled_at = restarted ? now + HoldDown(times) : now;
+}
+
+void SetResources(ShareLedger* ledger, const Document& document,
+                  const std::string& data_centre, TimePoint now) {
+  ledger->workers.clear();
+  ledger->resources.clear();
+  ledger->quota_classes.clear();
+  std::map<std::string, std::int64_t> slots;
+  std::int64_t all_slots = 0;
+  for (const WorkerSpec& worker : document.workers) {
+    ledger->workers[worker.name] = worker;
+    slots[worker.data_centre] += worker.slots;
+    all_slots += worker.slots;
+    if (worker.data_centre != data_centre) continue;
+    ledger->resources[{ResourceId::Kind::kWorker, worker.name}] = {
+        worker.slots, worker.accelerators};
+  }
+  std::int64_t before = 0;
+  for (const auto& [name, count] : slots) {
+    if (name < data_centre) before += count;
+  }
+  for (const TeamSpec& team : document.teams) {
+    internal::AddQuotaParts(ledger, team, before, slots[data_centre],
+                            all_slots);
+  }
+  internal::ReviseOwnership(ledger);
+  AdvanceShares(ledger, now);
+}
+
+void SetRoster(ShareLedger* ledger, const Roster& roster, TimePoint now) {
+  if (roster.epoch <= ledger->roster.epoch) return;
+  // A gap in the history must not look like a sequence.
+  if (roster.epoch != ledger->roster.epoch + 1) ledger->roster_history.clear();
+  ledger->roster = roster;
+  ledger->roster_history[roster.epoch] = roster;
+  while (ledger->roster_history.size() > internal::kRosterHistory) {
+    ledger->roster_history.erase(ledger->roster_history.begin());
+  }
+  internal::ReviseOwnership(ledger);
+  AdvanceShares(ledger, now);
+}
+
+void SetListedVms(ShareLedger* ledger, const std::set<std::string>& listed,
+                  TimePoint now) {
+  const auto update = [&](const std::string& vm) {
+    if (listed.contains(vm)) {
+      ledger->unlisted_since.erase(vm);
+    } else {
+      ledger->unlisted_since.emplace(vm, now);
+    }
+  };
+  for (const std::string& vm : ledger->roster.members) update(vm);
+  for (const std::string& vm : ledger->roster.former) update(vm);
+}
+
+void ReceiveReport(ShareLedger* ledger, const ShareReport& report,
+                   TimePoint now) {
+  ShareReport& known = ledger->reports[report.vm];
+  if (report.sequence <= known.sequence) return;
+  known = report;
+  internal::AcquirePending(ledger, now);
+}
+
+ShareReport MakeReport(ShareLedger* ledger, std::uint64_t sequence,
+                       std::uint32_t backlog, TimePoint now) {
+  AdvanceShares(ledger, now);
+  ShareReport report;
+  report.vm = ledger->self;
+  report.sequence = sequence;
+  report.roster_epoch = ledger->roster.epoch;
+  report.settling = now < ledger->settled_at;
+  report.unreleased.assign(ledger->releasing.begin(), ledger->releasing.end());
+  report.backlog = backlog;
+  for (const auto& [resource, owned] : ledger->owned) {
+    if (owned.ownership != Ownership::kHeld) continue;
+    const UnitPool* pool = PoolById(ledger, owned.pool);
+    const Units free = FreeUnits(*pool);
+    if (!pool->usable || free.slots <= 0) continue;
+    if (resource.kind == ResourceId::Kind::kWorker) {
+      report.free = report.free + free;
+    } else {
+      report.free_quota[resource.name] += free.slots;
+    }
+  }
+  return report;
+}
+
+void AdvanceShares(ShareLedger* ledger, TimePoint now) {
+  internal::EndDueLoans(ledger, now);
+  internal::ReclaimDueLoans(ledger, now);
+  internal::ReleaseIdle(ledger);
+  internal::AcquirePending(ledger, now);
+}
+
+std::vector<Grant> LendUnits(ShareLedger* ledger, const BorrowRequest& request,
+                             TimePoint now) {
+  AdvanceShares(ledger, now);
+  std::vector<Grant> grants;
+  for (const BorrowDemand& demand : request.demands) {
+    int tasks = demand.worker_tasks;
+    if (tasks > 0) {
+      for (const auto& [unit_class, units] :
+           internal::ClassesFor(ledger, demand.placement).candidates) {
+        internal::LendFromClass(ledger, request.borrower, unit_class, units,
+                                &tasks, now, &grants);
+      }
+    }
+    int quota = demand.quota_units;
+    const auto quota_class = ledger->quota_classes.find(demand.team);
+    if (quota > 0 && quota_class != ledger->quota_classes.end()) {
+      internal::LendFromClass(ledger, request.borrower, quota_class->second,
+                              {1, 0}, &quota, now, &grants);
+    }
+  }
+  return grants;
+}
+
+void ReceiveGrant(ShareLedger* ledger, const std::string& lender,
+                  const Grant& grant, TimePoint request_sent, TimePoint now) {
+  const bool is_worker = grant.resource.kind == ResourceId::Kind::kWorker;
+  const auto worker = ledger->workers.find(grant.resource.name);
+  const bool unknown =
+      is_worker ? worker == ledger->workers.end() || worker->second.leaving
+                : !ledger->quota_classes.contains(grant.resource.name);
+  const TimePoint loan_end = request_sent + grant.duration;
+  if (unknown || loan_end <= now) {
+    ledger->returns.push_back({lender, grant.loan, {}});
+    return;
+  }
+  if (ledger->borrowed.contains({lender, grant.loan})) return;
+  UnitPool pool;
+  pool.resource = grant.resource;
+  pool.capacity = grant.units;
+  pool.usable = true;
+  pool.lender = lender;
+  pool.loan = grant.loan;
+  pool.loan_end = loan_end;
+  pool.unit_class = is_worker ? WorkerClass(&ledger->index, worker->second)
+                              : QuotaClass(&ledger->index, grant.resource.name);
+  const PoolId id = AddPool(&ledger->index, std::move(pool))->id;
+  ledger->borrowed[{lender, grant.loan}] = id;
+  ledger->loan_ends.insert({loan_end, id});
+}
+
+std::map<std::string, std::vector<LoanId>> LoansToRenew(
+    const ShareLedger& ledger, bool backlog, TimePoint now) {
+  std::map<std::string, std::vector<LoanId>> renewals;
+  for (const auto& [end, id] : ledger.loan_ends) {
+    if (end - now > ledger.times.loan / 2) break;
+    const UnitPool& pool = ledger.index.pools.at(id);
+    if (pool.recalled || (!backlog && IsZero(pool.in_use))) continue;
+    renewals[pool.lender].push_back(pool.loan);
+  }
+  return renewals;
+}
+
+std::vector<LoanId> RenewLoans(ShareLedger* ledger, const std::string& borrower,
+                               const std::vector<LoanId>& loans,
+                               TimePoint now) {
+  std::vector<LoanId> renewed;
+  for (const LoanId id : loans) {
+    const auto it = ledger->lent.find(id);
+    if (it == ledger->lent.end() || it->second.borrower != borrower ||
+        it->second.recalled) {
       continue;
     }
-    if (best != nullptr && account.in_use.slots >= best->in_use.slots) continue;
-    if (!eligible(name)) continue;
-    best = &account;
-    best_units = *units;
+    ledger->reclaims.erase({it->second.reclaim, id});
+    it->second.reclaim = now + HoldDown(ledger->times);
+    ledger->reclaims.insert({it->second.reclaim, id});
+    renewed.push_back(id);
   }
-  if (best == nullptr) return std::nullopt;
-  best->in_use.slots += best_units.slots;
-  best->in_use.accelerators += best_units.accelerators;
-  return HeldUnits{best->spec.name, best_units};
+  return renewed;
 }
 
-void ReleaseUnits(ShareLedger* ledger, const HeldUnits& held) {
-  const auto it = ledger->workers.find(held.worker);
-  if (it == ledger->workers.end()) return;
-  it->second.in_use.slots -= held.units.slots;
-  it->second.in_use.accelerators -= held.units.accelerators;
+void ReceiveRenewal(ShareLedger* ledger, const std::string& lender, LoanId loan,
+                    Duration duration, TimePoint request_sent) {
+  const auto it = ledger->borrowed.find({lender, loan});
+  if (it == ledger->borrowed.end()) return;
+  UnitPool* pool = PoolById(ledger, it->second);
+  // A loan that has ended stays ended: its free units were given back.
+  if (!pool->usable || request_sent + duration <= pool->loan_end) return;
+  ledger->loan_ends.erase({pool->loan_end, pool->id});
+  pool->loan_end = request_sent + duration;
+  ledger->loan_ends.insert({pool->loan_end, pool->id});
+}
+
+std::map<std::string, std::vector<LoanId>> RecallLoans(ShareLedger* ledger) {
+  std::map<std::string, std::vector<LoanId>> recalls;
+  for (auto& [id, loan] : ledger->lent) {
+    loan.recalled = true;
+    recalls[loan.borrower].push_back(id);
+  }
+  return recalls;
+}
+
+void ReceiveRecall(ShareLedger* ledger, const std::string& lender,
+                   LoanId loan) {
+  const auto it = ledger->borrowed.find({lender, loan});
+  if (it == ledger->borrowed.end()) return;
+  UnitPool* pool = PoolById(ledger, it->second);
+  pool->recalled = true;
+  pool->usable = false;
+  Reindex(&ledger->index, pool);
+  internal::ShrinkBorrowed(ledger, pool);
+}
+
+void ReturnIdleUnits(ShareLedger* ledger) {
+  std::vector<PoolId> ids;
+  for (const auto& [key, id] : ledger->borrowed) ids.push_back(id);
+  for (const PoolId id : ids) {
+    internal::ShrinkBorrowed(ledger, PoolById(ledger, id));
+  }
+}
+
+std::vector<LoanReturn> TakeReturns(ShareLedger* ledger) {
+  return std::exchange(ledger->returns, {});
+}
+
+void ReceiveReturn(ShareLedger* ledger, const std::string& borrower,
+                   const LoanReturn& loan_return) {
+  const auto it = ledger->lent.find(loan_return.loan);
+  if (it == ledger->lent.end() || it->second.borrower != borrower ||
+      !Covers(it->second.units, loan_return.kept)) {
+    return;
+  }
+  internal::TakeBack(ledger, loan_return.loan, loan_return.kept);
+  internal::ReleaseIdle(ledger);
+}
+
+Units UnitsInUse(const ShareLedger& ledger, const ResourceId& resource) {
+  Units sum;
+  for (const auto& [id, pool] : ledger.index.pools) {
+    if (pool.resource == resource) sum = sum + pool.in_use;
+  }
+  return sum;
 }
 
 }  // namespace sequoiapath
--- a/packages/coordination/src/task_queue.cc
+++ b/packages/coordination/src/task_queue.cc
@@ -1,16 +1,26 @@
 #include "sequoiapath/coordination/task_queue.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
 #include <iterator>
+#include <unordered_set>
 #include <utility>
 
+#include "sequoiapath/coordination/internal_assert.h"
+
 namespace sequoiapath {
 namespace internal {
 namespace {
 
-bool HasWaiting(const QueuedGroup& queued) {
-  return !queued.returned.empty() ||
-         queued.next_index < queued.group.task_count;
-}
+using Acquire = std::function<bool(const TaskGroup&)>;
+using TeamAllowed = std::function<bool(const std::string&)>;
+
+// What was refused during one TakeNext.
+struct Refusals {
+  std::unordered_set<std::string> placements;
+};
 
 std::size_t WaitingIn(const QueuedGroup& queued) {
   return queued.returned.size() + (queued.group.task_count - queued.next_index);
@@ -23,39 +33,163 @@
   return index;
 }
 
+std::string PlacementKey(const Placement& placement) {
+  return fmt::format("{}|{}|{}|{}", placement.demand.cores,
+                     placement.demand.memory_mb, placement.demand.accelerators,
+                     fmt::join(placement.places, ","));
+}
+
+PriorityQueue* ClassOf(TaskQueue* queue, const QueuedGroup& queued) {
+  return &queue->classes[static_cast<std::size_t>(queued.group.priority)];
+}
+
+void Link(TaskQueue* queue, QueuedGroup* queued) {
+  PriorityQueue* priority = ClassOf(queue, *queued);
+  TeamQueue& team = priority->teams[queued->group.team];
+  if (team.placements.empty()) {
+    team.team = queued->group.team;
+    team.start = std::max(team.start, priority->virtual_time);
+    priority->waiting.insert({team.start, &team});
+  }
+  auto [it, added] = team.by_key.try_emplace(queued->placement_key);
+  if (added) {
+    team.placements.push_back({queued->placement_key, {}});
+    it->second = std::prev(team.placements.end());
+  }
+  queued->queue = &*it->second;
+  queued->queue->jobs.push_back(queued);
+  queued->position = std::prev(queued->queue->jobs.end());
+}
+
+void Unlink(TaskQueue* queue, QueuedGroup* queued) {
+  PriorityQueue* priority = ClassOf(queue, *queued);
+  TeamQueue& team = priority->teams.at(queued->group.team);
+  queued->queue->jobs.erase(queued->position);
+  if (queued->queue->jobs.empty()) {
+    const auto it = team.by_key.find(queued->placement_key);
+    team.placements.erase(it->second);
+    team.by_key.erase(it);
+  }
+  queued->queue = nullptr;
+  if (team.placements.empty()) priority->waiting.erase({team.start, &team});
+}
+
+// Lets the team's and the job's successors have their turn.
+void Charge(PriorityQueue* priority, TeamQueue* team, QueuedGroup* queued) {
+  priority->waiting.erase({team->start, team});
+  // A team that was blocked does not catch up on the time it missed.
+  const double start = std::max(team->start, priority->virtual_time);
+  priority->virtual_time = start;
+  team->start = start + 1 / std::max(queued->group.weight, 1e-6);
+  priority->waiting.insert({team->start, team});
+  auto& jobs = queued->queue->jobs;
+  jobs.splice(jobs.end(), jobs, queued->position);
+  const auto placement = team->by_key.at(queued->placement_key);
+  team->placements.splice(team->placements.end(), team->placements, placement);
+}
+
+QueuedTask TakeFrom(TaskQueue* queue, PriorityQueue* priority, TeamQueue* team,
+                    QueuedGroup* queued) {
+  Charge(priority, team, queued);
+  --queue->waiting;
+  const QueuedTask task{queued->group.job, TakeIndex(queued)};
+  if (WaitingIn(*queued) == 0) Unlink(queue, queued);
+  return task;
+}
+
+// Returns a job of the team that got its resources, or null.
+QueuedGroup* AcquireInTeam(TeamQueue* team, const Acquire& acquire,
+                           const TeamAllowed& team_allowed,
+                           Refusals* refusals) {
+  bool asked = false;
+  for (PlacementQueue& placement : team->placements) {
+    if (refusals->placements.contains(placement.key)) continue;
+    if (!asked && team_allowed && !team_allowed(team->team)) return nullptr;
+    asked = true;
+    if (acquire(placement.jobs.front()->group)) return placement.jobs.front();
+    if (team_allowed) refusals->placements.insert(placement.key);
+  }
+  return nullptr;
+}
+
+std::optional<QueuedTask> TakeFromClass(TaskQueue* queue,
+                                        PriorityQueue* priority,
+                                        const Acquire& acquire,
+                                        const TeamAllowed& team_allowed,
+                                        Refusals* refusals) {
+  for (const auto& [start, team] : priority->waiting) {
+    QueuedGroup* queued = AcquireInTeam(team, acquire, team_allowed, refusals);
+    if (queued != nullptr) return TakeFrom(queue, priority, team, queued);
+  }
+  return std::nullopt;
+}
+
+// Gives each class with work its share of this start.
+void AddCredit(TaskQueue* queue, std::size_t served) {
+  // Bounded, so that a class that was blocked gets no burst; above 1, so that
+  // one that waits behind another full credit loses none.
+  constexpr double kMaxCredit = 2;
+  for (std::size_t i = 0; i < kPriorityCount; ++i) {
+    PriorityQueue& priority = queue->classes[i];
+    const double credit = priority.credit + kMinimumShare[i];
+    priority.credit =
+        priority.waiting.empty() ? 0 : std::min(kMaxCredit, credit);
+  }
+  PriorityQueue& charged = queue->classes[served];
+  charged.credit = std::max(0.0, charged.credit - 1);
+}
+
+// Classes with a full credit first, then by priority.
+std::array<std::size_t, kPriorityCount> ClassOrder(const TaskQueue& queue) {
+  std::array<std::size_t, kPriorityCount> order{};
+  for (std::size_t i = 0; i < kPriorityCount; ++i) order[i] = i;
+  // The sum of twenty shares of 0.05 is slightly below 1 in binary.
+  constexpr double kFullCredit = 1 - 1e-9;
+  std::stable_partition(order.begin(), order.end(), [&queue](std::size_t i) {
+    return queue.classes[i].credit >= kFullCredit;
+  });
+  return order;
+}
+
 }  // namespace
 }  // namespace internal
 
 void EnqueueGroup(TaskQueue* queue, TaskGroup group) {
-  queue->waiting += group.task_count;
   const JobId job = group.job;
-  auto& groups = queue->classes[static_cast<std::size_t>(group.priority)];
-  groups.push_back({std::move(group), 0, {}});
-  queue->by_job[job] = std::prev(groups.end());
+  const auto [it, added] = queue->jobs.try_emplace(job);
+  SEQUOIAPATH_ASSERT(added, "job {} is already in the queue", job);
+  QueuedGroup& queued = it->second;
+  queued.group = std::move(group);
+  queued.placement_key = internal::PlacementKey(queued.group.placement);
+  queue->waiting += queued.group.task_count;
+  if (queued.group.task_count > 0) internal::Link(queue, &queued);
 }
 
 void ReturnTask(TaskQueue* queue, QueuedTask task) {
-  queue->by_job.at(task.job)->returned.push_back(task.index);
+  QueuedGroup& queued = queue->jobs.at(task.job);
+  queued.returned.push_back(task.index);
   ++queue->waiting;
+  if (queued.queue == nullptr) internal::Link(queue, &queued);
 }
 
 void RemoveGroup(TaskQueue* queue, JobId job) {
-  const auto it = queue->by_job.find(job);
-  if (it == queue->by_job.end()) return;
-  const auto group = it->second;
-  queue->waiting -= internal::WaitingIn(*group);
-  queue->classes[static_cast<std::size_t>(group->group.priority)].erase(group);
-  queue->by_job.erase(it);
+  const auto it = queue->jobs.find(job);
+  if (it == queue->jobs.end()) return;
+  queue->waiting -= internal::WaitingIn(it->second);
+  if (it->second.queue != nullptr) internal::Unlink(queue, &it->second);
+  queue->jobs.erase(it);
 }
 
 std::optional<QueuedTask> TakeNext(
-    TaskQueue* queue, const std::function<bool(const TaskGroup&)>& acquire) {
-  for (auto& groups : queue->classes) {
-    for (QueuedGroup& queued : groups) {
-      if (!internal::HasWaiting(queued) || !acquire(queued.group)) continue;
-      --queue->waiting;
-      return QueuedTask{queued.group.job, internal::TakeIndex(&queued)};
-    }
+    TaskQueue* queue, const std::function<bool(const TaskGroup&)>& acquire,
+    const std::function<bool(const std::string& team)>& team_allowed) {
+  internal::Refusals refusals;
+  for (const std::size_t i : internal::ClassOrder(*queue)) {
+    const auto task = internal::TakeFromClass(queue, &queue->classes[i],
+                                              acquire, team_allowed, &refusals);
+    if (!task) continue;
+    internal::AddCredit(queue, i);
+    return task;
   }
   return std::nullopt;
 }
--- /dev/null
+++ b/packages/coordination/src/unit_pool.cc
@@ -0,0 +1,168 @@
+#include "sequoiapath/coordination/unit_pool.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "sequoiapath/coordination/internal_assert.h"
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+std::size_t MakeClass(UnitIndex* index, const std::string& key,
+                      const WorkerSpec& spec) {
+  const auto [it, added] =
+      index->class_by_key.emplace(key, index->classes.size());
+  if (added) {
+    UnitClass made;
+    made.spec = spec;
+    made.max_accelerators = spec.accelerators;
+    index->classes.push_back(std::move(made));
+  }
+  return it->second;
+}
+
+// Moves a class to the level of its least loaded pool.
+void UpdateLevel(UnitIndex* index, std::size_t number) {
+  UnitClass& moved = index->classes[number];
+  while (moved.highest > 0 && moved.buckets[moved.highest].empty()) {
+    --moved.highest;
+  }
+  const std::size_t level =
+      moved.highest / static_cast<std::size_t>(moved.max_accelerators + 1);
+  const bool is_quota = moved.spec.name.empty();
+  if (is_quota || level == moved.level) return;
+  if (moved.level > 0) {
+    auto& old = index->levels[moved.level];
+    old[moved.position] = old.back();
+    index->classes[old[moved.position]].position = moved.position;
+    old.pop_back();
+  }
+  moved.level = level;
+  if (level == 0) return;
+  if (index->levels.size() <= level) index->levels.resize(level + 1);
+  moved.position = index->levels[level].size();
+  index->levels[level].push_back(number);
+}
+
+void Unlink(UnitClass* unit_class, UnitPool* pool) {
+  auto& bucket = unit_class->buckets[pool->bucket];
+  bucket[pool->position] = bucket.back();
+  bucket[pool->position]->position = pool->position;
+  bucket.pop_back();
+  pool->indexed = false;
+}
+
+void Link(UnitClass* unit_class, UnitPool* pool, std::size_t number) {
+  if (unit_class->buckets.size() <= number) {
+    unit_class->buckets.resize(number + 1);
+  }
+  auto& bucket = unit_class->buckets[number];
+  pool->bucket = number;
+  pool->position = bucket.size();
+  pool->indexed = true;
+  bucket.push_back(pool);
+  unit_class->highest = std::max(unit_class->highest, number);
+}
+
+UnitPool* FindInBucket(const std::vector<UnitPool*>& bucket,
+                       const std::function<bool(const UnitPool&)>& eligible) {
+  for (UnitPool* pool : bucket) {
+    if (eligible(*pool)) return pool;
+  }
+  return nullptr;
+}
+
+}  // namespace
+}  // namespace internal
+
+Units operator+(const Units& a, const Units& b) {
+  return {a.slots + b.slots, a.accelerators + b.accelerators};
+}
+
+Units operator-(const Units& a, const Units& b) {
+  return {a.slots - b.slots, a.accelerators - b.accelerators};
+}
+
+bool IsZero(const Units& units) {
+  return units.slots == 0 && units.accelerators == 0;
+}
+
+bool Covers(const Units& whole, const Units& part) {
+  return whole.slots >= part.slots && whole.accelerators >= part.accelerators;
+}
+
+std::string ToString(const ResourceId& resource) {
+  if (resource.kind == ResourceId::Kind::kWorker) return resource.name;
+  return fmt::format("quota:{}#{}", resource.name, resource.part);
+}
+
+Units FreeUnits(const UnitPool& pool) {
+  return pool.capacity - pool.in_use - pool.lent;
+}
+
+std::size_t WorkerClass(UnitIndex* index, const WorkerSpec& spec) {
+  return internal::MakeClass(
+      index,
+      fmt::format("w|{}|{}|{}|{}|{}|{}", spec.data_centre, spec.rack,
+                  spec.slots, spec.cores, spec.memory_mb, spec.accelerators),
+      spec);
+}
+
+std::size_t QuotaClass(UnitIndex* index, const std::string& team) {
+  return internal::MakeClass(index, "q|" + team, {});
+}
+
+UnitPool* AddPool(UnitIndex* index, UnitPool pool) {
+  pool.id = index->next_pool++;
+  pool.indexed = false;
+  const PoolId id = pool.id;
+  UnitPool* added = &index->pools.emplace(id, std::move(pool)).first->second;
+  Reindex(index, added);
+  return added;
+}
+
+void RemovePool(UnitIndex* index, PoolId id) {
+  const auto it = index->pools.find(id);
+  SEQUOIAPATH_ASSERT(it != index->pools.end(), "pool {} does not exist", id);
+  UnitPool& pool = it->second;
+  if (pool.indexed) {
+    internal::Unlink(&index->classes[pool.unit_class], &pool);
+    internal::UpdateLevel(index, pool.unit_class);
+  }
+  index->pools.erase(it);
+}
+
+void Reindex(UnitIndex* index, UnitPool* pool) {
+  UnitClass* unit_class = &index->classes[pool->unit_class];
+  if (pool->indexed) internal::Unlink(unit_class, pool);
+  const Units free = FreeUnits(*pool);
+  // A pool may be overdrawn after the document reduced a worker's slots.
+  if (pool->usable && free.slots > 0 && free.accelerators >= 0) {
+    const int width = unit_class->max_accelerators + 1;
+    internal::Link(
+        unit_class, pool,
+        static_cast<std::size_t>(free.slots * width + free.accelerators));
+  }
+  internal::UpdateLevel(index, pool->unit_class);
+}
+
+UnitPool* FindPool(UnitIndex* index, std::size_t unit_class, const Units& need,
+                   const std::function<bool(const UnitPool&)>& eligible) {
+  UnitClass& found = index->classes[unit_class];
+  const int width = found.max_accelerators + 1;
+  for (int slots = static_cast<int>(found.highest) / width;
+       slots >= std::max(need.slots, 1); --slots) {
+    for (int more = need.accelerators; more < width; ++more) {
+      const auto number = static_cast<std::size_t>(slots * width + more);
+      if (number > found.highest) break;
+      UnitPool* pool = internal::FindInBucket(found.buckets[number], eligible);
+      if (pool != nullptr) return pool;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace sequoiapath
--- a/packages/state/src/job_runner.cc
+++ b/packages/state/src/job_runner.cc
@@ -117,11 +117,16 @@
 void JobRunner::Dispatch() {
   while (this->queue.waiting > 0) {
     std::optional<HeldUnits> held;
-    const auto task =
-        TakeNext(&this->queue, [this, &held](const TaskGroup& group) {
-          held = AcquireUnits(&this->ledger, group.placement,
+    const auto task = TakeNext(
+        &this->queue,
+        [this, &held](const TaskGroup& group) {
+          held = AcquireUnits(&this->ledger, group.team, group.placement,
+                              this->loop->Now(),
                               [](const std::string&) { return true; });
           return held.has_value();
+        },
+        [this](const std::string& team) {
+          return HasQuota(&this->ledger, team, this->loop->Now());
         });
     if (!task) return;
     this->SendTask(*task, *std::move(held));
--- /dev/null
+++ b/tests/correctness/roster_test.cc
@@ -0,0 +1,77 @@
+// Guards ownership by the roster and the rules for proposing a new one.
+
+#include "sequoiapath/coordination/roster.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace sequoiapath {
+namespace {
+
+const TimePoint kStart{std::chrono::hours(1)};
+const RosterTimes kTimes;
+
+VmState Live() { return {true, false, true, kStart, {}}; }
+
+TEST(RosterTest, SurvivesEncoding) {
+  const Roster roster{7, {"vm-a", "vm-b"}, {"vm-c"}};
+  const auto decoded = DecodeRoster(EncodeRoster(roster));
+  ASSERT_EQ(GetFailure(decoded), nullptr);
+  EXPECT_EQ(std::get<Roster>(decoded), roster);
+  EXPECT_NE(GetFailure(DecodeRoster("{\"epoch\": []}")), nullptr);
+}
+
+// A removed member must move only its own resources.
+TEST(RosterTest, RemovalMovesOnlyTheRemovedShare) {
+  const Roster all{1, {"a", "b", "c", "d"}, {}};
+  const Roster fewer{2, {"a", "b", "c"}, {}};
+  int of_d = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const std::string worker = "worker-" + std::to_string(i);
+    if (OwnerOf(all, worker) == "d") {
+      ++of_d;
+    } else {
+      EXPECT_EQ(OwnerOf(all, worker), OwnerOf(fewer, worker));
+    }
+  }
+  EXPECT_NEAR(of_d, 250, 60);
+}
+
+TEST(RosterTest, UnreachableVmStaysAndAbsentVmLeavesAfterHoldDown) {
+  const Roster current{3, {"a", "b"}, {}};
+  std::map<std::string, VmState> vms{{"a", Live()}, {"b", Live()}};
+  vms["b"].live = false;
+  EXPECT_FALSE(
+      NextRoster(current, vms, kTimes, kStart + std::chrono::hours(1)));
+  vms["b"].listed = false;
+  vms["b"].unlisted_since = kStart;
+  const TimePoint due = kStart + kTimes.hold_down;
+  EXPECT_FALSE(NextRoster(current, vms, kTimes, due - Duration(1)));
+  EXPECT_EQ(NextRoster(current, vms, kTimes, due), (Roster{4, {"a"}, {}}));
+}
+
+// A leaving VM may still run tasks, so others must wait for its release.
+TEST(RosterTest, LeavingVmBecomesFormer) {
+  const Roster current{3, {"a", "b"}, {}};
+  std::map<std::string, VmState> vms{{"a", Live()}, {"b", Live()}};
+  vms["b"].leaving = true;
+  EXPECT_EQ(NextRoster(current, vms, kTimes, kStart),
+            (Roster{4, {"a"}, {"b"}}));
+}
+
+TEST(RosterTest, LowestLiveVmProposesFirst) {
+  const Roster current{3, {"a", "b"}, {}};
+  std::map<std::string, VmState> vms{
+      {"a", Live()}, {"b", Live()}, {"c", Live()}};
+  const TimePoint now = kStart + kTimes.join_delay;
+  std::optional<TimePoint> due_a;
+  std::optional<TimePoint> due_b;
+  EXPECT_TRUE(ProposeRoster("a", current, vms, kTimes, &due_a, now));
+  EXPECT_FALSE(ProposeRoster("b", current, vms, kTimes, &due_b, now));
+  EXPECT_TRUE(ProposeRoster("b", current, vms, kTimes, &due_b,
+                            now + kTimes.proposer_delay));
+}
+
+}  // namespace
+}  // namespace sequoiapath
--- /dev/null
+++ b/tests/correctness/task_queue_test.cc
@@ -0,0 +1,111 @@
+// Guards the order of the queue: priorities with minimum shares, teams by
+// weight, and blocked groups that cost one attempt.
+
+#include "sequoiapath/coordination/task_queue.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace sequoiapath {
+namespace {
+
+bool AcceptAll(const TaskGroup& /*group*/) { return true; }
+
+void Add(TaskQueue* queue, JobId job, const std::string& team, double weight,
+         Priority priority, std::uint32_t tasks) {
+  EnqueueGroup(queue, {job, team, weight, priority, {}, tasks});
+}
+
+// Takes `count` tasks and counts them by job.
+std::map<JobId, int> Take(TaskQueue* queue, int count) {
+  std::map<JobId, int> taken;
+  for (int i = 0; i < count; ++i) {
+    const auto task = TakeNext(queue, AcceptAll);
+    if (!task) break;
+    ++taken[task->job];
+  }
+  return taken;
+}
+
+// A bulk job must neither wait for ever nor take more than its share.
+TEST(TaskQueueTest, LowerClassesGetTheirMinimumShare) {
+  TaskQueue queue;
+  Add(&queue, 1, "a", 1, Priority::kUrgent, 1000);
+  Add(&queue, 2, "a", 1, Priority::kNormal, 1000);
+  Add(&queue, 3, "a", 1, Priority::kBulk, 1000);
+  const auto taken = Take(&queue, 400);
+  EXPECT_NEAR(taken.at(2), 40, 4);
+  EXPECT_NEAR(taken.at(3), 20, 3);
+}
+
+TEST(TaskQueueTest, TeamsShareByWeight) {
+  TaskQueue queue;
+  Add(&queue, 1, "a", 3, Priority::kNormal, 1000);
+  Add(&queue, 2, "b", 1, Priority::kNormal, 1000);
+  EXPECT_NEAR(Take(&queue, 400).at(1), 300, 2);
+}
+
+// A team that was idle or blocked must not catch up at the others' expense.
+TEST(TaskQueueTest, TeamThatWasAwayGetsNoBurst) {
+  TaskQueue queue;
+  Add(&queue, 1, "a", 1, Priority::kNormal, 1000);
+  Take(&queue, 200);
+  Add(&queue, 2, "b", 1, Priority::kNormal, 1000);
+  EXPECT_NEAR(Take(&queue, 100).at(1), 50, 2);
+}
+
+// A team must not gain by submitting one job after the other.
+TEST(TaskQueueTest, EmptiedTeamKeepsItsCharge) {
+  TaskQueue queue;
+  Add(&queue, 1, "a", 1, Priority::kNormal, 1000);
+  int of_b = 0;
+  for (JobId job = 2; job < 102; ++job) {
+    Add(&queue, job, "b", 1, Priority::kNormal, 1);
+    const auto task = TakeNext(&queue, AcceptAll);
+    of_b += task->job != 1 ? 1 : 0;
+  }
+  EXPECT_NEAR(of_b, 50, 2);
+}
+
+TEST(TaskQueueTest, ManyBlockedJobsCostOneAttempt) {
+  TaskQueue queue;
+  for (JobId job = 0; job < 10'000; ++job) {
+    EnqueueGroup(&queue, {job,
+                          job % 2 == 0 ? "a" : "b",
+                          1,
+                          Priority::kNormal,
+                          {{.cores = 4}, {}},
+                          5});
+  }
+  EnqueueGroup(&queue, {10'000, "c", 1, Priority::kNormal, {}, 1});
+  int attempts = 0;
+  const auto acquire = [&attempts](const TaskGroup& group) {
+    ++attempts;
+    return group.team == "c";
+  };
+  const auto task =
+      TakeNext(&queue, acquire, [](const std::string&) { return true; });
+  ASSERT_TRUE(task.has_value());
+  EXPECT_EQ(task->job, 10'000U);
+  EXPECT_LE(attempts, 2);
+}
+
+TEST(TaskQueueTest, RemovalAndReturnKeepTheCount) {
+  TaskQueue queue;
+  Add(&queue, 1, "a", 1, Priority::kNormal, 2);
+  Add(&queue, 2, "a", 1, Priority::kNormal, 2);
+  Take(&queue, 4);
+  EXPECT_EQ(queue.waiting, 0U);
+  ReturnTask(&queue, {1, 1});
+  EXPECT_EQ(queue.waiting, 1U);
+  EXPECT_EQ(TakeNext(&queue, AcceptAll)->index, 1U);
+  ReturnTask(&queue, {1, 0});
+  RemoveGroup(&queue, 1);
+  RemoveGroup(&queue, 1);
+  EXPECT_EQ(queue.waiting, 0U);
+  EXPECT_FALSE(TakeNext(&queue, AcceptAll).has_value());
+}
+
+}  // namespace
+}  // namespace sequoiapath
