--- a/packages/coordination/include/sequoiapath/coordination/share_ledger.h
+++ b/packages/coordination/include/sequoiapath/coordination/share_ledger.h
@@ -67,6 +67,7 @@
   Units free;                             // Worker units that it would lend.
   std::map<std::string, int> free_quota;  // Quota units by team, no zeros.
   std::uint32_t backlog = 0;              // Waiting tasks.
+  Units units;                            // See UsableUnits.
 };
 
 // A request for units. A task may lack worker units, quota units or both.
@@ -237,9 +238,11 @@
 void ReceiveRenewal(ShareLedger* ledger, const std::string& lender, LoanId loan,
                     Duration duration, TimePoint request_sent);
 
-// Lender with a backlog: recalls its loans and returns all recalled ones by
-// borrower, to be sent with heartbeats.
-std::map<std::string, std::vector<LoanId>> RecallLoans(ShareLedger* ledger);
+// Lender with a backlog: recalls its loans to borrowers that `should_recall`
+// accepts. Returns all recalled ones by borrower, to be sent with heartbeats.
+std::map<std::string, std::vector<LoanId>> RecallLoans(
+    ShareLedger* ledger,
+    const std::function<bool(const std::string& borrower)>& should_recall);
 
 // Borrower: starts nothing more on the loan and returns units as they get free.
 void ReceiveRecall(ShareLedger* ledger, const std::string& lender, LoanId loan);
@@ -260,6 +263,10 @@
 // Returns the units in use of a resource on this VM, owned and borrowed.
 Units UnitsInUse(const ShareLedger& ledger, const ResourceId& resource);
 
+// Returns the worker units that this VM may use now: owned and borrowed,
+// without lent ones.
+Units UsableUnits(const ShareLedger& ledger);
+
 }  // namespace sequoiapath
 
 #endif  // SEQUOIAPATH_COORDINATION_SHARE_LEDGER_H_
--- a/packages/coordination/include/sequoiapath/coordination/unit_pool.h
+++ b/packages/coordination/include/sequoiapath/coordination/unit_pool.h
@@ -4,12 +4,12 @@
 #ifndef SEQUOIAPATH_COORDINATION_UNIT_POOL_H_
 #define SEQUOIAPATH_COORDINATION_UNIT_POOL_H_
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -41,7 +41,10 @@
   std::string name;  // Worker or team.
   int part = 0;      // Of a quota.
 
-  friend auto operator<=>(const ResourceId&, const ResourceId&) = default;
+  friend bool operator==(const ResourceId&, const ResourceId&) = default;
+  friend bool operator<(const ResourceId& a, const ResourceId& b) {
+    return std::tie(a.kind, a.name, a.part) < std::tie(b.kind, b.name, b.part);
+  }
 };
 
 // Returns the text that is hashed to find the owner; also used in logs.
--- a/packages/coordination/src/share_ledger.cc
+++ b/packages/coordination/src/share_ledger.cc
@@ -151,6 +151,8 @@
 
 void TakeBack(ShareLedger* ledger, LoanId id, const Units& kept) {
   const auto it = ledger->lent.find(id);
+  SEQUOIAPATH_ASSERT(it != ledger->lent.end(), "VM {} has no loan {}",
+                     ledger->self, id);
   LentLoan& loan = it->second;
   UnitPool* pool = PoolById(ledger, loan.pool);
   const Units back = loan.units - kept;
@@ -238,8 +240,10 @@
 }
 
 void AcquirePending(ShareLedger* ledger, TimePoint now) {
-  if (ledger->pending.empty() || now < ledger->settled_at || IsBehind(*ledger))
+  if (ledger->pending.empty() || now < ledger->settled_at ||
+      IsBehind(*ledger)) {
     return;
+  }
   for (auto it = ledger->pending.begin(); it != ledger->pending.end();) {
     if (!MayAcquire(*ledger, *it, now)) {
       ++it;
@@ -567,6 +571,7 @@
   report.settling = now < ledger->settled_at;
   report.unreleased.assign(ledger->releasing.begin(), ledger->releasing.end());
   report.backlog = backlog;
+  report.units = UsableUnits(*ledger);
   for (const auto& [resource, owned] : ledger->owned) {
     if (owned.ownership != Ownership::kHeld) continue;
     const UnitPool* pool = PoolById(ledger, owned.pool);
@@ -680,11 +685,13 @@
   ledger->loan_ends.insert({pool->loan_end, pool->id});
 }
 
-std::map<std::string, std::vector<LoanId>> RecallLoans(ShareLedger* ledger) {
+std::map<std::string, std::vector<LoanId>> RecallLoans(
+    ShareLedger* ledger,
+    const std::function<bool(const std::string& borrower)>& should_recall) {
   std::map<std::string, std::vector<LoanId>> recalls;
   for (auto& [id, loan] : ledger->lent) {
-    loan.recalled = true;
-    recalls[loan.borrower].push_back(id);
+    loan.recalled = loan.recalled || should_recall(loan.borrower);
+    if (loan.recalled) recalls[loan.borrower].push_back(id);
   }
   return recalls;
 }
@@ -731,4 +738,14 @@
   return sum;
 }
 
+Units UsableUnits(const ShareLedger& ledger) {
+  Units sum;
+  for (const auto& [id, pool] : ledger.index.pools) {
+    if (pool.usable && pool.resource.kind == ResourceId::Kind::kWorker) {
+      sum = sum + pool.capacity - pool.lent;
+    }
+  }
+  return sum;
+}
+
 }  // namespace sequoiapath
--- a/packages/coordination/src/unit_pool.cc
+++ b/packages/coordination/src/unit_pool.cc
@@ -24,6 +24,12 @@
   return it->second;
 }
 
+std::size_t BucketNumber(const Units& free, int max_accelerators) {
+  return static_cast<std::size_t>(free.slots) *
+             static_cast<std::size_t>(max_accelerators + 1) +
+         static_cast<std::size_t>(free.accelerators);
+}
+
 // Moves a class to the level of its least loaded pool.
 void UpdateLevel(UnitIndex* index, std::size_t number) {
   UnitClass& moved = index->classes[number];
@@ -141,10 +147,8 @@
   const Units free = FreeUnits(*pool);
   // A pool may be overdrawn after the document reduced a worker's slots.
   if (pool->usable && free.slots > 0 && free.accelerators >= 0) {
-    const int width = unit_class->max_accelerators + 1;
-    internal::Link(
-        unit_class, pool,
-        static_cast<std::size_t>(free.slots * width + free.accelerators));
+    internal::Link(unit_class, pool,
+                   internal::BucketNumber(free, unit_class->max_accelerators));
   }
   internal::UpdateLevel(index, pool->unit_class);
 }
@@ -156,7 +160,8 @@
   for (int slots = static_cast<int>(found.highest) / width;
        slots >= std::max(need.slots, 1); --slots) {
     for (int more = need.accelerators; more < width; ++more) {
-      const auto number = static_cast<std::size_t>(slots * width + more);
+      const auto number =
+          internal::BucketNumber({slots, more}, found.max_accelerators);
       if (number > found.highest) break;
       UnitPool* pool = internal::FindInBucket(found.buckets[number], eligible);
       if (pool != nullptr) return pool;
