--- /dev/null
+++ b/bench/placement_experiment.cc
@@ -0,0 +1,701 @@
+// Compares the queue and ledger of 8 entry VMs with random choice, round robin
+// and two-choice probing without shares, in virtual time. Prints one row per
+// policy, load and job size. See docs/placement.md.
+
+#include <fmt/format.h>
+#include <popt.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "sequoiapath/coordination/loan_policy.h"
+#include "sequoiapath/coordination/share_ledger.h"
+#include "sequoiapath/coordination/task_queue.h"
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr int kVms = 8;
+constexpr int kWorkers = 50;
+constexpr int kSlots = 8;
+constexpr std::array<int, kVms> kDataCentreOfVm = {0, 0, 0, 1, 1, 1, 2, 2};
+// Share of the arrivals at each VM.
+constexpr std::array<double, kVms> kSkew = {0.30, 0.15, 0.10, 0.15,
+                                            0.10, 0.05, 0.10, 0.05};
+constexpr std::array<std::uint32_t, 3> kJobSizes = {1, 40, 480};
+// Equal numbers of tasks would make nearly all jobs small: this gives each
+// size a share of the tasks that leaves enough large jobs to measure.
+constexpr std::array<double, 3> kTaskShare = {0.1, 0.4, 0.5};
+constexpr auto kHeartbeat = milliseconds(250);
+constexpr auto kHeartbeatAcross = milliseconds(2000);
+
+// How VMs borrow from each other.
+struct BorrowPolicy {
+  // Idle units that a lender keeps for itself.
+  int reserve = 0;
+  // Asks VMs of other data centres when the own one has nothing.
+  bool across = true;
+  // Refusals and grants carry the lender's free units.
+  bool piggyback = true;
+  // Lenders recall loans while they have a backlog.
+  bool recall = true;
+  // Lends by expected wait, not idle units only.
+  bool by_wait = true;
+  // Announces free units at once when they appear after having none.
+  bool announce = true;
+};
+
+struct Options {
+  int seed = 1;
+  int seconds = 60;
+  int warmup = 10;
+  BorrowPolicy borrow;
+};
+
+int DataCentreOfWorker(int worker) {
+  return worker < 18 ? 0 : worker < 34 ? 1 : 2;
+}
+
+struct Job {
+  TimePoint arrival;
+  int vm = 0;
+  std::size_t size_class = 0;
+  Duration ideal{};
+  std::vector<Duration> runs;
+  std::uint32_t left = 0;
+};
+
+struct Stats {
+  std::array<std::vector<double>, 3> ratios;  // By size class.
+  std::uint64_t tasks = 0;
+  std::uint64_t messages = 0;
+};
+
+struct EventQueue {
+  struct Event {
+    TimePoint at;
+    std::uint64_t order = 0;
+    std::function<void()> run;
+    bool operator<(const Event& other) const {
+      return std::pair(other.at, other.order) <
+             std::pair(this->at, this->order);
+    }
+  };
+  std::priority_queue<Event> events;
+  TimePoint now{std::chrono::hours(1)};
+  std::uint64_t order = 0;
+};
+
+void After(EventQueue* queue, Duration delay, std::function<void()> run) {
+  queue->events.push({queue->now + delay, queue->order++, std::move(run)});
+}
+
+void RunUntil(EventQueue* queue, TimePoint end) {
+  while (!queue->events.empty() && queue->events.top().at <= end) {
+    EventQueue::Event event = queue->events.top();
+    queue->events.pop();
+    queue->now = event.at;
+    event.run();
+  }
+}
+
+struct Vm {
+  int number = 0;
+  ShareLedger ledger;
+  TaskQueue queue;
+  std::array<VmLoad, kVms> peers{};     // As last reported.
+  std::array<TimePoint, kVms> asked{};  // Time of the last request, if pending.
+  std::array<int, kVms> wanted{};       // By borrowers that wait for units.
+  std::array<TimePoint, kVms> wanted_since{};
+  bool had_free = true;
+  std::array<int, kWorkers> outstanding{};  // Of the baselines.
+  int next_worker = 0;
+};
+
+struct Worker {
+  int running = 0;
+  std::deque<std::pair<JobId, std::uint32_t>> waiting;
+};
+
+// kOneQueue is the bound for any exchange of units: a single VM that owns all.
+enum class Policy { kRandom, kRoundRobin, kTwoChoices, kShares, kOneQueue };
+constexpr std::array<const char*, 5> kPolicyNames = {
+    "random", "round robin", "two choices", "shares", "one queue"};
+
+struct Experiment {
+  Options options;
+  Policy policy = Policy::kShares;
+  double load = 0;
+  EventQueue events;
+  std::mt19937_64 random;   // Arrivals and run times, equal for all policies.
+  std::mt19937_64 choices;  // Of the baselines.
+  std::array<Vm, kVms> vms;
+  std::array<Worker, kWorkers> workers;
+  std::map<JobId, Job> jobs;
+  JobId next_job = 1;
+  Stats stats;
+  TimePoint measured_from, arrivals_end;
+};
+
+double Uniform(Experiment* experiment) {
+  return std::uniform_real_distribution<double>(0, 1)(experiment->random);
+}
+
+Duration NetworkDelay(int from_dc, int to_dc) {
+  return from_dc == to_dc ? microseconds(250) : microseconds(1000);
+}
+
+Duration VmDelay(int a, int b) {
+  return NetworkDelay(kDataCentreOfVm[static_cast<std::size_t>(a)],
+                      kDataCentreOfVm[static_cast<std::size_t>(b)]);
+}
+
+Duration WorkerDelay(int vm, int worker) {
+  return NetworkDelay(kDataCentreOfVm[static_cast<std::size_t>(vm)],
+                      DataCentreOfWorker(worker));
+}
+
+void SendVm(Experiment* experiment, int from, int to,
+            std::function<void()> run) {
+  ++experiment->stats.messages;
+  After(&experiment->events, VmDelay(from, to), std::move(run));
+}
+
+void FinishTask(Experiment* experiment, JobId id) {
+  Job& job = experiment->jobs.at(id);
+  if (--job.left > 0) return;
+  if (job.arrival >= experiment->measured_from) {
+    const double response =
+        static_cast<double>((experiment->events.now - job.arrival).count());
+    experiment->stats.ratios[job.size_class].push_back(
+        response / static_cast<double>(job.ideal.count()));
+  }
+  experiment->jobs.erase(id);
+}
+
+// --- Shares and loans ---
+
+void Dispatch(Experiment* experiment, Vm* vm);
+
+int FreeOwnUnits(Experiment* experiment, Vm* vm) {
+  if (vm->queue.waiting > 0) return 0;
+  return MakeReport(&vm->ledger, 0, 0, experiment->events.now).free.slots;
+}
+
+int WorkerNumber(const std::string& name) { return std::stoi(name.substr(1)); }
+
+void RunOnShares(Experiment* experiment, Vm* vm, const QueuedTask& task,
+                 const HeldUnits& held) {
+  const int worker = WorkerNumber(held.worker);
+  const Duration run = experiment->jobs.at(task.job).runs[task.index];
+  After(&experiment->events, run + 2 * WorkerDelay(vm->number, worker), [=] {
+    ReleaseUnits(&vm->ledger, held);
+    FinishTask(experiment, task.job);
+    Dispatch(experiment, vm);
+  });
+}
+
+VmLoad LoadOf(Experiment* experiment, Vm* vm) {
+  return {FreeOwnUnits(experiment, vm) - experiment->options.borrow.reserve,
+          static_cast<int>(vm->queue.waiting), UsableUnits(vm->ledger).slots,
+          true};
+}
+
+void NoteLoad(Vm* vm, int peer, const VmLoad& load) {
+  auto& known = vm->peers[static_cast<std::size_t>(peer)];
+  known = load;
+  known.near = VmDelay(vm->number, peer) == VmDelay(0, 0);
+}
+
+// A request that found no free unit stays at the lender this long.
+constexpr auto kPendingRequest = milliseconds(250);
+
+std::vector<Grant> Lend(Experiment* experiment, Vm* lender, int borrower,
+                        int count) {
+  if (count <= 0) return {};
+  return LendUnits(&lender->ledger,
+                   {std::to_string(borrower), {{{}, count, "", 0}}},
+                   experiment->events.now);
+}
+
+void SendGrants(Experiment* experiment, Vm* lender, Vm* vm, TimePoint sent,
+                const std::vector<Grant>& grants) {
+  const VmLoad load = LoadOf(experiment, lender);
+  SendVm(experiment, lender->number, vm->number, [=] {
+    if (experiment->options.borrow.piggyback) {
+      NoteLoad(vm, lender->number, load);
+    }
+    for (const Grant& grant : grants) {
+      ReceiveGrant(&vm->ledger, std::to_string(lender->number), grant, sent,
+                   experiment->events.now);
+    }
+    Dispatch(experiment, vm);
+  });
+}
+
+// Gives free units to borrowers whose tasks wait longer than the own ones.
+void ServePending(Experiment* experiment, Vm* vm) {
+  const TimePoint now = experiment->events.now;
+  for (std::size_t peer = 0; peer < kVms; ++peer) {
+    if (vm->wanted[peer] <= 0) continue;
+    const bool expired = now - vm->wanted_since[peer] > kPendingRequest;
+    std::vector<Grant> grants;
+    VmLoad own = LoadOf(experiment, vm);
+    while (!expired && vm->wanted[peer] > 0 &&
+           ShouldLend(own, vm->peers[peer])) {
+      const auto more = Lend(experiment, vm, static_cast<int>(peer), 1);
+      if (more.empty()) break;
+      grants.insert(grants.end(), more.begin(), more.end());
+      --vm->wanted[peer];
+      --own.units;
+      ++vm->peers[peer].units;
+    }
+    if (!grants.empty()) {
+      SendGrants(experiment, vm, &experiment->vms[peer], vm->wanted_since[peer],
+                 grants);
+    }
+    if (expired) vm->wanted[peer] = 0;
+  }
+}
+
+void Ask(Experiment* experiment, Vm* vm, std::size_t peer, int wanted) {
+  const TimePoint sent = experiment->events.now;
+  vm->asked[peer] = sent;
+  const VmLoad load = LoadOf(experiment, vm);
+  SendVm(experiment, vm->number, static_cast<int>(peer), [=] {
+    Vm* lender = &experiment->vms[peer];
+    NoteLoad(lender, vm->number, load);
+    const int spare = LoadOf(experiment, lender).free;
+    const auto grants =
+        Lend(experiment, lender, vm->number, std::min(wanted, spare));
+    int granted = 0;
+    for (const Grant& grant : grants) granted += grant.units.slots;
+    if (experiment->options.borrow.by_wait) {
+      const auto borrower = static_cast<std::size_t>(vm->number);
+      lender->wanted[borrower] = wanted - granted;
+      lender->wanted_since[borrower] = sent;
+    }
+    SendGrants(experiment, lender, vm, sent, grants);
+  });
+}
+
+// Returns whom to ask; one request at a time is pending with each VM.
+std::optional<std::size_t> NextLender(const Experiment& experiment,
+                                      const Vm& vm, const VmLoad& own) {
+  std::vector<VmLoad> peers;
+  std::vector<std::size_t> numbers;
+  for (std::size_t peer = 0; peer < kVms; ++peer) {
+    const VmLoad& load = vm.peers[peer];
+    if (static_cast<int>(peer) == vm.number || load.units == 0 ||
+        (!load.near && !experiment.options.borrow.across) ||
+        (load.free <= 0 && !experiment.options.borrow.by_wait) ||
+        experiment.events.now - vm.asked[peer] <
+            (load.free > 0 ? Duration(milliseconds(2)) : kPendingRequest)) {
+      continue;
+    }
+    peers.push_back(load);
+    numbers.push_back(peer);
+  }
+  const auto chosen = ChooseLender(own, peers);
+  return chosen ? std::optional(numbers[*chosen]) : std::nullopt;
+}
+
+void BorrowIfNeeded(Experiment* experiment, Vm* vm) {
+  int missing = static_cast<int>(vm->queue.waiting);
+  while (missing > 0) {
+    const auto peer = NextLender(*experiment, *vm, LoadOf(experiment, vm));
+    if (!peer) return;
+    const int free = vm->peers[*peer].free;
+    const int wanted = free > 0 ? std::min(missing, free) : missing;
+    Ask(experiment, vm, *peer, wanted);
+    missing -= std::max(free, 0);
+  }
+}
+
+void SendReturns(Experiment* experiment, Vm* vm) {
+  std::map<std::string, std::vector<LoanReturn>> batches;
+  for (LoanReturn& back : TakeReturns(&vm->ledger)) {
+    batches[back.lender].push_back(back);
+  }
+  for (const auto& [lender, batch] : batches) {
+    const int peer = std::stoi(lender);
+    SendVm(experiment, vm->number, peer, [=, batch = batch] {
+      Vm* to = &experiment->vms[static_cast<std::size_t>(peer)];
+      for (const LoanReturn& back : batch) {
+        ReceiveReturn(&to->ledger, std::to_string(vm->number), back);
+      }
+      Dispatch(experiment, to);
+    });
+  }
+}
+
+void Announce(Experiment* experiment, Vm* vm, bool all) {
+  const VmLoad load = LoadOf(experiment, vm);
+  for (int peer = 0; peer < kVms; ++peer) {
+    if (peer == vm->number ||
+        (!all && VmDelay(peer, vm->number) != VmDelay(0, 0))) {
+      continue;
+    }
+    SendVm(experiment, vm->number, peer, [=] {
+      Vm* to = &experiment->vms[static_cast<std::size_t>(peer)];
+      NoteLoad(to, vm->number, load);
+      BorrowIfNeeded(experiment, to);
+    });
+  }
+}
+
+void Recall(Experiment* experiment, Vm* vm) {
+  for (const auto& [borrower, loans] :
+       RecallLoans(&vm->ledger, [=](const std::string& borrower) {
+         return !experiment->options.borrow.by_wait ||
+                ShouldRecall(
+                    LoadOf(experiment, vm),
+                    vm->peers[static_cast<std::size_t>(std::stoi(borrower))]);
+       })) {
+    const int peer = std::stoi(borrower);
+    SendVm(experiment, vm->number, peer, [=, loans = loans] {
+      Vm* to = &experiment->vms[static_cast<std::size_t>(peer)];
+      for (const LoanId loan : loans) {
+        ReceiveRecall(&to->ledger, std::to_string(vm->number), loan);
+      }
+      SendReturns(experiment, to);
+    });
+  }
+}
+
+void Dispatch(Experiment* experiment, Vm* vm) {
+  ServePending(experiment, vm);
+  while (vm->queue.waiting > 0) {
+    std::optional<HeldUnits> held;
+    const auto task = TakeNext(&vm->queue, [&](const TaskGroup& group) {
+      held = AcquireUnits(&vm->ledger, group.team, group.placement,
+                          experiment->events.now,
+                          [](const std::string&) { return true; });
+      return held.has_value();
+    });
+    if (!task) break;
+    RunOnShares(experiment, vm, *task, *held);
+  }
+  if (vm->queue.waiting == 0) ReturnIdleUnits(&vm->ledger);
+  SendReturns(experiment, vm);
+  BorrowIfNeeded(experiment, vm);
+  const bool has_free =
+      FreeOwnUnits(experiment, vm) > experiment->options.borrow.reserve;
+  if (has_free && !vm->had_free && experiment->options.borrow.announce) {
+    Announce(experiment, vm, true);
+  }
+  vm->had_free = has_free;
+}
+
+void RenewLoansOf(Experiment* experiment, Vm* vm) {
+  const TimePoint sent = experiment->events.now;
+  for (const auto& [lender, loans] :
+       LoansToRenew(vm->ledger, vm->queue.waiting > 0, sent)) {
+    const int peer = std::stoi(lender);
+    SendVm(experiment, vm->number, peer, [=, lender = lender, loans = loans] {
+      const auto renewed =
+          RenewLoans(&experiment->vms[static_cast<std::size_t>(peer)].ledger,
+                     std::to_string(vm->number), loans, experiment->events.now);
+      SendVm(experiment, peer, vm->number, [=] {
+        for (const LoanId loan : renewed) {
+          ReceiveRenewal(&vm->ledger, lender, loan, vm->ledger.times.loan,
+                         sent);
+        }
+      });
+    });
+  }
+}
+
+void Heartbeat(Experiment* experiment, Vm* vm, int count) {
+  AdvanceShares(&vm->ledger, experiment->events.now);
+  Announce(experiment, vm, count % (kHeartbeatAcross / kHeartbeat) == 0);
+  RenewLoansOf(experiment, vm);
+  if (vm->queue.waiting > 0 && experiment->options.borrow.recall) {
+    Recall(experiment, vm);
+  }
+  Dispatch(experiment, vm);
+  After(&experiment->events, kHeartbeat,
+        [=] { Heartbeat(experiment, vm, count + 1); });
+}
+
+void SetUpShares(Experiment* experiment) {
+  Document document;
+  for (int i = 0; i < kWorkers; ++i) {
+    WorkerSpec worker;
+    worker.name = fmt::format("w{:02}", i);
+    worker.data_centre = std::to_string(DataCentreOfWorker(i));
+    worker.rack = fmt::format("r{}", i / 8);
+    document.workers.push_back(worker);
+  }
+  if (experiment->policy == Policy::kOneQueue) {
+    SetWorkers(&experiment->vms[0].ledger, document.workers);
+    return;
+  }
+  std::array<Roster, 3> rosters;
+  for (int vm = 0; vm < kVms; ++vm) {
+    Roster& roster = rosters[static_cast<std::size_t>(
+        kDataCentreOfVm[static_cast<std::size_t>(vm)])];
+    roster.epoch = 1;
+    roster.members.push_back(std::to_string(vm));
+  }
+  const TimePoint now = experiment->events.now;
+  std::array<ShareReport, kVms> reports;
+  for (Vm& vm : experiment->vms) {
+    const auto i = static_cast<std::size_t>(vm.number);
+    BeginShares(&vm.ledger, std::to_string(vm.number), {}, (i + 1) << 32U,
+                false, now);
+    SetResources(&vm.ledger, document, std::to_string(kDataCentreOfVm[i]), now);
+    SetRoster(&vm.ledger, rosters[static_cast<std::size_t>(kDataCentreOfVm[i])],
+              now);
+    reports[i] = MakeReport(&vm.ledger, 1, 0, now);
+  }
+  for (Vm& vm : experiment->vms) {
+    for (int peer = 0; peer < kVms; ++peer) {
+      if (kDataCentreOfVm[static_cast<std::size_t>(peer)] !=
+              kDataCentreOfVm[static_cast<std::size_t>(vm.number)] ||
+          peer == vm.number) {
+        continue;
+      }
+      ReceiveReport(&vm.ledger, reports[static_cast<std::size_t>(peer)], now);
+    }
+    After(&experiment->events, milliseconds(10 * vm.number),
+          [=, vm = &vm] { Heartbeat(experiment, vm, 0); });
+  }
+}
+
+// --- Baselines ---
+
+void StartAtWorker(Experiment* experiment, int number, JobId id,
+                   std::uint32_t index) {
+  Worker& worker = experiment->workers[static_cast<std::size_t>(number)];
+  ++worker.running;
+  const int vm = experiment->jobs.at(id).vm;
+  After(&experiment->events, experiment->jobs.at(id).runs[index], [=] {
+    Worker& same = experiment->workers[static_cast<std::size_t>(number)];
+    --same.running;
+    if (!same.waiting.empty()) {
+      const auto [next, next_index] = same.waiting.front();
+      same.waiting.pop_front();
+      StartAtWorker(experiment, number, next, next_index);
+    }
+    After(&experiment->events, WorkerDelay(vm, number), [=] {
+      --experiment->vms[static_cast<std::size_t>(vm)]
+            .outstanding[static_cast<std::size_t>(number)];
+      FinishTask(experiment, id);
+    });
+  });
+}
+
+int ChooseByBaseline(Experiment* experiment, Vm* vm) {
+  const auto any = [experiment] {
+    return std::uniform_int_distribution<int>(
+        0, kWorkers - 1)(experiment->choices);
+  };
+  if (experiment->policy == Policy::kRoundRobin) {
+    return vm->next_worker++ % kWorkers;
+  }
+  const int first = any();
+  if (experiment->policy == Policy::kRandom) return first;
+  const int second = any();
+  const auto& tasks = vm->outstanding;
+  return tasks[static_cast<std::size_t>(second)] <
+                 tasks[static_cast<std::size_t>(first)]
+             ? second
+             : first;
+}
+
+void RunOnBaseline(Experiment* experiment, Vm* vm, JobId id,
+                   std::uint32_t count) {
+  for (std::uint32_t index = 0; index < count; ++index) {
+    const int number = ChooseByBaseline(experiment, vm);
+    ++vm->outstanding[static_cast<std::size_t>(number)];
+    After(&experiment->events, WorkerDelay(vm->number, number), [=] {
+      Worker& worker = experiment->workers[static_cast<std::size_t>(number)];
+      if (worker.running < kSlots) {
+        StartAtWorker(experiment, number, id, index);
+      } else {
+        worker.waiting.emplace_back(id, index);
+      }
+    });
+  }
+}
+
+// --- Arrivals ---
+
+Duration DrawRun(Experiment* experiment) {
+  if (Uniform(experiment) < 0.02) return std::chrono::seconds(5);
+  return microseconds(static_cast<int>(50'000 + 950'000 * Uniform(experiment)));
+}
+
+constexpr double kMeanRunSeconds = 0.98 * 0.525 + 0.02 * 5;
+
+void Submit(Experiment* experiment, std::size_t size_class) {
+  const JobId id = experiment->next_job++;
+  Job& job = experiment->jobs[id];
+  job.arrival = experiment->events.now;
+  job.size_class = size_class;
+  double point = Uniform(experiment);
+  while (job.vm < kVms - 1 &&
+         (point -= kSkew[static_cast<std::size_t>(job.vm)]) >= 0) {
+    ++job.vm;
+  }
+  job.left = kJobSizes[size_class];
+  for (std::uint32_t i = 0; i < job.left; ++i) {
+    job.runs.push_back(DrawRun(experiment));
+  }
+  job.ideal = *std::max_element(job.runs.begin(), job.runs.end()) +
+              2 * NetworkDelay(0, 0);
+  if (job.arrival >= experiment->measured_from) {
+    experiment->stats.tasks += job.left;
+  }
+  if (experiment->policy == Policy::kOneQueue) job.vm = 0;
+  Vm* vm = &experiment->vms[static_cast<std::size_t>(job.vm)];
+  if (experiment->policy < Policy::kShares) {
+    RunOnBaseline(experiment, vm, id, job.left);
+    return;
+  }
+  EnqueueGroup(&vm->queue, {id, "team", 1, Priority::kNormal, {}, job.left});
+  Dispatch(experiment, vm);
+}
+
+void Arrive(Experiment* experiment, std::size_t size_class) {
+  const double tasks_per_second =
+      experiment->load * kWorkers * kSlots / kMeanRunSeconds;
+  const double jobs_per_second =
+      tasks_per_second * kTaskShare[size_class] / kJobSizes[size_class];
+  const double wait = std::exponential_distribution<double>(jobs_per_second)(
+      experiment->random);
+  After(&experiment->events,
+        microseconds(static_cast<std::int64_t>(wait * 1e6)), [=] {
+          if (experiment->events.now >= experiment->arrivals_end) return;
+          Submit(experiment, size_class);
+          Arrive(experiment, size_class);
+        });
+}
+
+Stats Run(const Options& options, Policy policy, double load) {
+  auto experiment = std::make_unique<Experiment>();
+  experiment->options = options;
+  experiment->policy = policy;
+  experiment->load = load;
+  experiment->random.seed(static_cast<std::uint64_t>(options.seed));
+  for (int i = 0; i < kVms; ++i) {
+    experiment->vms[static_cast<std::size_t>(i)].number = i;
+  }
+  const TimePoint begin = experiment->events.now;
+  experiment->measured_from = begin + std::chrono::seconds(options.warmup);
+  experiment->arrivals_end =
+      experiment->measured_from + std::chrono::seconds(options.seconds);
+  if (policy >= Policy::kShares) SetUpShares(experiment.get());
+  for (std::size_t i = 0; i < kJobSizes.size(); ++i) {
+    Arrive(experiment.get(), i);
+  }
+  RunUntil(&experiment->events, experiment->measured_from);
+  experiment->stats.messages = 0;
+  RunUntil(&experiment->events, experiment->arrivals_end);
+  const std::uint64_t messages = experiment->stats.messages;
+  RunUntil(&experiment->events,
+           experiment->arrivals_end + std::chrono::seconds(60));
+  experiment->stats.messages = messages;
+  return experiment->stats;
+}
+
+void PrintRow(const char* policy, double load, std::size_t size_class,
+              Stats* stats) {
+  auto& ratios = stats->ratios[size_class];
+  if (ratios.empty()) return;
+  std::sort(ratios.begin(), ratios.end());
+  double sum = 0;
+  for (const double ratio : ratios) sum += ratio;
+  const auto at = [&ratios](double q) {
+    return ratios[static_cast<std::size_t>(
+        q * static_cast<double>(ratios.size() - 1))];
+  };
+  // A start and its answer are two messages in every policy.
+  const double messages = 2 + static_cast<double>(stats->messages) /
+                                  static_cast<double>(stats->tasks);
+  fmt::print(
+      "| {:11} | {:3.0f}% | {:3} | {:6} | {:6.2f} | {:6.2f} | {:7.2f} | "
+      "{:5.2f} |\n",
+      policy, load * 100, kJobSizes[size_class], ratios.size(),
+      sum / static_cast<double>(ratios.size()), at(0.5), at(0.99), messages);
+}
+
+bool ParseOptions(int argc, const char** argv, Options* options) {
+  int no_across = 0;
+  int no_announce = 0;
+  int no_recall = 0;
+  int idle_only = 0;
+  int no_piggyback = 0;
+  const std::array<poptOption, 11> table = {
+      {{"seed", 0, POPT_ARG_INT, &options->seed, 0, "random seed", "N"},
+       {"seconds", 0, POPT_ARG_INT, &options->seconds, 0,
+        "measured virtual time", "S"},
+       {"warmup", 0, POPT_ARG_INT, &options->warmup, 0, "virtual time before",
+        "S"},
+       {"reserve", 0, POPT_ARG_INT, &options->borrow.reserve, 0,
+        "idle units a lender keeps", "N"},
+       {"no-across", 0, POPT_ARG_NONE, &no_across, 0,
+        "borrow within the data centre only", nullptr},
+       {"no-announce", 0, POPT_ARG_NONE, &no_announce, 0,
+        "advertise free units on heartbeats only", nullptr},
+       {"idle-only", 0, POPT_ARG_NONE, &idle_only, 0, "lend idle units only",
+        nullptr},
+       {"no-recall", 0, POPT_ARG_NONE, &no_recall, 0, "recall no loans",
+        nullptr},
+       {"no-piggyback", 0, POPT_ARG_NONE, &no_piggyback, 0,
+        "replies carry no free units", nullptr},
+       POPT_AUTOHELP POPT_TABLEEND}};
+  poptContext context =
+      poptGetContext("placement_experiment", argc, argv, table.data(), 0);
+  const int result = poptGetNextOpt(context);
+  if (result < -1) {
+    fmt::print(stderr, "placement_experiment: {}: {}\n",
+               poptBadOption(context, POPT_BADOPTION_NOALIAS),
+               poptStrerror(result));
+  }
+  poptFreeContext(context);
+  options->borrow.across = no_across == 0;
+  options->borrow.announce = no_announce == 0;
+  options->borrow.recall = no_recall == 0;
+  options->borrow.by_wait = idle_only == 0;
+  options->borrow.piggyback = no_piggyback == 0;
+  return result == -1;
+}
+
+void PrintTable(const Options& options) {
+  fmt::print(
+      "| policy      | load | job | jobs   | mean   | p50    | p99     | "
+      "msg/task |\n|---|---|---|---|---|---|---|---|\n");
+  for (const double load : {0.5, 0.8, 0.95}) {
+    for (std::size_t policy = 0; policy < kPolicyNames.size(); ++policy) {
+      Stats stats = Run(options, static_cast<Policy>(policy), load);
+      for (std::size_t i = 0; i < kJobSizes.size(); ++i) {
+        PrintRow(kPolicyNames[policy], load, i, &stats);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace internal
+}  // namespace sequoiapath
+
+int main(int argc, const char** argv) {
+  sequoiapath::internal::Options options;
+  if (!sequoiapath::internal::ParseOptions(argc, argv, &options)) return 2;
+  sequoiapath::internal::PrintTable(options);
+  return 0;
+}
