--- a/packages/state/include/sequoiapath/state/job_runner.h
+++ b/packages/state/include/sequoiapath/state/job_runner.h
@@ -95,7 +95,8 @@
   };
 
   void Dispatch();
-  std::optional<HeldUnits> Acquire(const Placement& placement, bool idempotent);
+  std::optional<HeldUnits> Acquire(const std::string& team,
+                                   const Placement& placement, bool idempotent);
   void ScheduleWakeUp();
   void ForgetChangedWorkers(const Catalog& next);
   void RecordEvidence(const SentTask& sent, const TaskOutcome& outcome,
--- a/packages/state/src/job_runner.cc
+++ b/packages/state/src/job_runner.cc
@@ -100,8 +100,9 @@
 std::optional<Failure> JobRunner::CheckAdmission(const JobSpec& spec) {
   // Tasks that wait for a particular kind of worker must not keep out a job for
   // which a worker is free.
-  const auto free = this->Acquire({spec.request.demand, spec.request.places},
-                                  spec.service.idempotent);
+  const auto free =
+      this->Acquire(spec.team, {spec.request.demand, spec.request.places},
+                    spec.service.idempotent);
   if (free) ReleaseUnits(&this->ledger, *free);
   return RefuseJob(this->admission_limits, this->waiting_work, this->estimates,
                    {.service = spec.service.name,
@@ -169,13 +170,18 @@
 void JobRunner::Dispatch() {
   while (this->queue.waiting > 0) {
     std::optional<HeldUnits> held;
-    const auto task =
-        TakeNext(&this->queue, [this, &held](const TaskGroup& group) {
+    const auto task = TakeNext(
+        &this->queue,
+        [this, &held](const TaskGroup& group) {
           const RunningJob* job = this->FindJob(group.job);
           SEQUOIAPATH_ASSERT(job != nullptr,
                              "job {} is queued but is not running", group.job);
-          held = this->Acquire(group.placement, job->spec.service.idempotent);
+          held = this->Acquire(group.team, group.placement,
+                               job->spec.service.idempotent);
           return held.has_value();
+        },
+        [this](const std::string& team) {
+          return HasQuota(&this->ledger, team, this->loop->Now());
         });
     if (!task) {
       this->saturated = true;
@@ -187,13 +193,15 @@
   this->saturated = false;
 }
 
-std::optional<HeldUnits> JobRunner::Acquire(const Placement& placement,
+std::optional<HeldUnits> JobRunner::Acquire(const std::string& team,
+                                            const Placement& placement,
                                             bool idempotent) {
   const TimePoint now = this->loop->Now();
-  return AcquireUnits(&this->ledger, placement, [&](const std::string& worker) {
-    return IsEligible(this->health, worker, idempotent, now) &&
-           this->workers.AllowsTask(worker, idempotent);
-  });
+  return AcquireUnits(
+      &this->ledger, team, placement, now, [&](const std::string& worker) {
+        return IsEligible(this->health, worker, idempotent, now) &&
+               this->workers.AllowsTask(worker, idempotent);
+      });
 }
 
 // No event announces that a worker is no longer avoided.
