Validate the whole configuration document

Cause: the parser accepted unknown keys, values out of range, duplicate names and references to nothing, reported one error without a line, and copied TOML through JSON text.

Change: one list of fields per entry drives encoder and both parsers; every error is reported with line, key path, finding and allowed values. Services get max_rack_percent and places. The record embeds the document as an object.

--- a/packages/protocol/include/sequoiapath/protocol/document.h
+++ b/packages/protocol/include/sequoiapath/protocol/document.h
@@ -17,6 +17,14 @@
 
 namespace sequoiapath {
 
+// The store holds values of up to 1 MiB; the rest of the record needs less than
+// 512 bytes.
+constexpr std::size_t kMaxDocumentBytes = (std::size_t{1} << 20) - 512;
+
+// Bounds the work on a TOML source: comments and white space make it longer
+// than its canonical form.
+constexpr std::size_t kMaxTomlBytes = std::size_t{4} << 20;
+
 struct ServiceSpec {
   std::string name;
   // Whether a repeated run of a task has no further effect.
@@ -28,6 +36,10 @@
   std::size_t max_payload_bytes = 65'536;
   std::size_t max_tasks = 480;
   Priority priority = Priority::kNormal;
+  // Greatest share of a job's running tasks in one rack.
+  int max_rack_percent = 100;
+  // Data centres or racks where the service may run; empty: anywhere.
+  std::vector<std::string> places;
 
   friend bool operator==(const ServiceSpec&, const ServiceSpec&) = default;
 };
@@ -76,8 +88,8 @@
 
 // One finding of the validation.
 struct DocumentError {
-  int line = 0;  // In the TOML source; zero if unknown.
-  std::string key;
+  int line = 0;     // In the TOML source; zero if unknown.
+  std::string key;  // Path such as "workers[3].slots", counted from zero.
   std::string found;
   std::string allowed;
 };
@@ -85,13 +97,17 @@
 using DocumentErrors = std::vector<DocumentError>;
 using DocumentResult = std::variant<Document, DocumentErrors>;
 
-// Parses and validates the TOML source. Reports every error. Thread-safe.
+// Parses and validates the TOML source. Reports every error, in the order of
+// the lines. Thread-safe.
 DocumentResult ParseDocumentToml(std::string_view text);
 
-// Parses and validates the canonical JSON form. Thread-safe.
+// Parses and validates the JSON form. Reports every error; lines are zero.
+// Thread-safe.
 DocumentResult ParseDocumentJson(std::string_view text);
 
-// Returns the canonical JSON: sorted keys, sorted lists, no white space.
+// Returns the canonical JSON: sorted keys, sorted lists, no white space. All
+// fields are written, so that a later change of a default does not change the
+// meaning of a stored document. Precondition: `document` is valid. Thread-safe.
 std::string EncodeDocument(const Document& document);
 
 // The configuration as it is kept in the store and passed between daemons.
@@ -104,9 +120,13 @@
   friend bool operator==(const ConfigRecord&, const ConfigRecord&) = default;
 };
 
+// Returns the JSON form; the document is embedded as an object, because a
+// quoted string would grow by one sixth. Precondition: `record.document` is
+// canonical.
 std::string EncodeConfigRecord(const ConfigRecord& record);
 
-// Parses a record and verifies its digest. Thread-safe.
+// Parses a record and verifies its digest. Also accepts the document as a
+// string. Thread-safe.
 Result<ConfigRecord> DecodeConfigRecord(std::string_view text);
 
 // Returns the lower-case hex SHA-256 of `text`. Thread-safe.
