Stream response bodies in chunks in the HTTP client and server

Cause: a watch is a response that does not end.

Change: HttpClient::SendStreaming passes the body on as it arrives and may be cancelled inside a chunk; HttpResponder::StartStream sends a body in chunks.

--- a/packages/transport/include/sequoiapath/transport/http_client.h
+++ b/packages/transport/include/sequoiapath/transport/http_client.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "sequoiapath/transport/endpoint.h"
@@ -44,6 +45,9 @@
 using HttpResult = std::variant<HttpResponse, HttpError>;
 using HttpCallback = std::function<void(HttpResult result)>;
 
+// Gets a part of a response body; the view is valid during the call only.
+using HttpChunkCallback = std::function<void(std::string_view chunk)>;
+
 // Identifies a request in progress; zero names none.
 using HttpRequestId = std::uint64_t;
 
@@ -63,6 +67,13 @@
   HttpRequestId Send(HttpRequest request, Duration timeout,
                      HttpCallback callback);
 
+  // As Send, but passes the body of a response with status 200 to `on_chunk`
+  // as it arrives; the final result then has an empty body. `on_chunk` may
+  // cancel the request but must not destroy the client.
+  HttpRequestId SendStreaming(HttpRequest request, Duration timeout,
+                              HttpChunkCallback on_chunk,
+                              HttpCallback callback);
+
   // Ends a request early; its callback gets kCancelled and its connection is
   // closed. Has no effect on a finished request.
   void Cancel(HttpRequestId id);
--- a/packages/transport/include/sequoiapath/transport/http_server.h
+++ b/packages/transport/include/sequoiapath/transport/http_server.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "sequoiapath/transport/endpoint.h"
@@ -21,6 +22,28 @@
 struct PendingExchange;
 }  // namespace internal
 
+// Sends a response body in chunks. Copies share the same exchange.
+// Thread safety: loop thread only.
+class HttpBodyStream {
+ public:
+  explicit HttpBodyStream(std::shared_ptr<internal::PendingExchange> exchange);
+
+  // Sends `chunk` after the earlier ones. Has no effect once the stream is
+  // finished or the client has gone. Chunks that the client does not read are
+  // kept in memory.
+  void Write(std::string_view chunk) const;
+
+  // Ends the body after the chunks that were written.
+  void Finish() const;
+
+  // Returns whether the client is still connected, as far as is known: a client
+  // that left is noticed when a write fails.
+  bool IsOpen() const;
+
+ private:
+  std::shared_ptr<internal::PendingExchange> exchange;
+};
+
 // Answers one request. Copies share the same exchange.
 // Thread safety: loop thread only.
 class HttpResponder {
@@ -31,8 +54,12 @@
   // no effect.
   void Respond(const HttpResponse& response) const;
 
-  // Calls `callback` once if the client goes away before Respond. Replaces an
-  // earlier callback.
+  // Starts a response whose body is sent in chunks; use it instead of Respond.
+  // The status and headers are sent with the first chunk.
+  HttpBodyStream StartStream(const HttpResponse& head) const;
+
+  // Calls `callback` once if the client goes away before Respond, or before the
+  // stream is finished. Replaces an earlier callback.
   void OnAbort(std::function<void()> callback) const;
 
  private:
--- a/packages/transport/src/http_client.cc
+++ b/packages/transport/src/http_client.cc
@@ -69,6 +69,10 @@
   bool sent = false;
   HttpResponse response;
   HttpCallback callback;
+  HttpChunkCallback on_chunk;  // Null: the body is collected.
+  // True while `on_chunk` runs: h2o must not be cancelled inside its callback.
+  bool delivering = false;
+  bool cancel_requested = false;
 };
 
 namespace {
@@ -177,6 +181,22 @@
   Finish(call, std::move(response), keep);
 }
 
+constexpr int kStatusOk = 200;
+
+// Moves received bytes from h2o's buffer to the response or the chunk callback.
+void TakeBody(Call* call, h2o_buffer_t** input) {
+  const std::string chunk((*input)->bytes, (*input)->size);
+  h2o_buffer_consume(input, (*input)->size);
+  if (!call->on_chunk || call->response.status != kStatusOk) {
+    call->response.body += chunk;
+    return;
+  }
+  if (chunk.empty()) return;
+  call->delivering = true;
+  call->on_chunk(chunk);
+  call->delivering = false;
+}
+
 int OnBody(h2o_http1client_t* h2o_client, const char* error) {
   auto* call = static_cast<Call*>(h2o_client->data);
   if (error != nullptr && error != h2o_http1client_error_is_eos) {
@@ -184,9 +204,12 @@
     Fail(call, HttpErrorKind::kClosed, error);
     return -1;
   }
-  h2o_buffer_t** input = &h2o_client->sock->input;
-  call->response.body.append((*input)->bytes, (*input)->size);
-  h2o_buffer_consume(input, (*input)->size);
+  TakeBody(call, &h2o_client->sock->input);
+  if (call->cancel_requested) {
+    call->h2o_client = nullptr;
+    Fail(call, HttpErrorKind::kCancelled, "cancelled by the caller");
+    return -1;  // Makes h2o close the connection.
+  }
   if (error == h2o_http1client_error_is_eos) {
     call->h2o_client = nullptr;
     Complete(call);
@@ -307,6 +330,13 @@
 
 HttpRequestId HttpClient::Send(HttpRequest request, Duration timeout,
                                HttpCallback callback) {
+  return this->SendStreaming(std::move(request), timeout, nullptr,
+                             std::move(callback));
+}
+
+HttpRequestId HttpClient::SendStreaming(HttpRequest request, Duration timeout,
+                                        HttpChunkCallback on_chunk,
+                                        HttpCallback callback) {
   internal::HttpClientState* client = this->state.get();
   std::unique_ptr<Connection> connection = internal::TakeConnection(client);
   if (connection == nullptr) {
@@ -325,6 +355,7 @@
   call->head = internal::FormatHead(request, client->endpoint);
   call->body = std::move(request.body);
   call->callback = std::move(callback);
+  call->on_chunk = std::move(on_chunk);
   call->timeout_timer = client->loop->Schedule(timeout, [call] {
     internal::Abort(call, HttpErrorKind::kTimeout, "no response in time");
   });
@@ -341,6 +372,10 @@
 void HttpClient::Cancel(HttpRequestId id) {
   auto it = this->state->calls.find(id);
   if (it == this->state->calls.end()) return;
+  if (it->second->delivering) {
+    it->second->cancel_requested = true;
+    return;
+  }
   internal::Abort(it->second.get(), HttpErrorKind::kCancelled,
                   "cancelled by the caller");
 }
--- a/packages/transport/src/http_server.cc
+++ b/packages/transport/src/http_server.cc
@@ -22,12 +22,26 @@
 
 struct HttpServerState;
 
+struct PendingExchange;
+
+// The state of a response body that is sent in chunks. h2o takes one buffer at
+// a time; `pending` collects the chunks that are written meanwhile.
+struct BodyStream {
+  h2o_generator_t generator;  // First member: h2o returns a pointer to it.
+  PendingExchange* exchange;
+  std::string sending;
+  std::string pending;
+  bool in_flight;
+  bool finished;
+};
+
 // One unanswered request. `request` becomes null once it was answered or its
 // connection has gone.
 struct PendingExchange {
   h2o_req_t* request = nullptr;
   HttpServerState* server = nullptr;
   std::function<void()> on_abort;
+  std::unique_ptr<BodyStream> stream;
 };
 
 // The handler that h2o allocates; h2o requires the base struct first.
@@ -64,6 +78,44 @@
   --exchange->server->pending_requests;
 }
 
+// Gives h2o the next buffer of the body if it can take one.
+void FlushStream(BodyStream* stream) {
+  h2o_req_t* request = stream->exchange->request;
+  if (request == nullptr || stream->in_flight) return;
+  if (stream->pending.empty() && !stream->finished) return;
+  stream->in_flight = true;
+  stream->sending = std::move(stream->pending);
+  stream->pending.clear();
+  h2o_iovec_t buffer =
+      h2o_iovec_init(stream->sending.data(), stream->sending.size());
+  if (stream->finished) DetachExchange(stream->exchange);
+  h2o_send(
+      request, &buffer, stream->sending.empty() ? 0 : 1,
+      stream->finished ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void OnStreamProceed(h2o_generator_t* generator, h2o_req_t* /*request*/) {
+  auto* stream = reinterpret_cast<BodyStream*>(generator);
+  stream->in_flight = false;
+  FlushStream(stream);
+}
+
+// The request is disposed next, which reports the end to the handler.
+void OnStreamStop(h2o_generator_t* /*generator*/, h2o_req_t* /*request*/) {}
+
+void WriteHead(h2o_req_t* request, const HttpResponse& response) {
+  request->res.status = response.status;
+  request->res.reason = "status";
+  for (const HttpHeader& header : response.headers) {
+    const h2o_iovec_t name =
+        h2o_strdup(&request->pool, header.name.data(), header.name.size());
+    const h2o_iovec_t value =
+        h2o_strdup(&request->pool, header.value.data(), header.value.size());
+    h2o_add_header_by_str(&request->pool, &request->res.headers, name.base,
+                          name.len, 1, nullptr, value.base, value.len);
+  }
+}
+
 void DisposeExchangeHolder(void* memory) {
   auto* holder = static_cast<ExchangeHolder*>(memory);
   const std::shared_ptr<PendingExchange> exchange = std::move(holder->exchange);
@@ -161,22 +213,48 @@
 
 void HttpResponder::Respond(const HttpResponse& response) const {
   h2o_req_t* request = this->exchange->request;
-  if (request == nullptr) return;
+  if (request == nullptr || this->exchange->stream != nullptr) return;
   internal::DetachExchange(this->exchange.get());
   this->exchange->on_abort = nullptr;
-  request->res.status = response.status;
-  request->res.reason = "status";
-  for (const HttpHeader& header : response.headers) {
-    const h2o_iovec_t name =
-        h2o_strdup(&request->pool, header.name.data(), header.name.size());
-    const h2o_iovec_t value =
-        h2o_strdup(&request->pool, header.value.data(), header.value.size());
-    h2o_add_header_by_str(&request->pool, &request->res.headers, name.base,
-                          name.len, 1, nullptr, value.base, value.len);
-  }
+  internal::WriteHead(request, response);
   h2o_send_inline(request, response.body.data(), response.body.size());
 }
 
+HttpBodyStream HttpResponder::StartStream(const HttpResponse& head) const {
+  h2o_req_t* request = this->exchange->request;
+  if (request != nullptr && this->exchange->stream == nullptr) {
+    internal::WriteHead(request, head);
+    this->exchange->stream = std::make_unique<internal::BodyStream>();
+    internal::BodyStream* stream = this->exchange->stream.get();
+    stream->generator = {internal::OnStreamProceed, internal::OnStreamStop};
+    stream->exchange = this->exchange.get();
+    h2o_start_response(request, &stream->generator);
+  }
+  return HttpBodyStream(this->exchange);
+}
+
+HttpBodyStream::HttpBodyStream(
+    std::shared_ptr<internal::PendingExchange> exchange)
+    : exchange(std::move(exchange)) {}
+
+void HttpBodyStream::Write(std::string_view chunk) const {
+  if (!this->IsOpen()) return;
+  this->exchange->stream->pending += chunk;
+  internal::FlushStream(this->exchange->stream.get());
+}
+
+void HttpBodyStream::Finish() const {
+  if (!this->IsOpen()) return;
+  this->exchange->stream->finished = true;
+  this->exchange->on_abort = nullptr;
+  internal::FlushStream(this->exchange->stream.get());
+}
+
+bool HttpBodyStream::IsOpen() const {
+  return this->exchange->request != nullptr &&
+         this->exchange->stream != nullptr && !this->exchange->stream->finished;
+}
+
 void HttpResponder::OnAbort(std::function<void()> callback) const {
   this->exchange->on_abort = std::move(callback);
 }
