--- a/packages/coordination/src/config_change.cc
+++ b/packages/coordination/src/config_change.cc
@@ -136,9 +136,9 @@
   const Entries their_entries = ReadEntries(theirs, section);
   Json merged = Json::array();
   for (const std::string& name : Keys(our_entries, their_entries)) {
-    Json entry = MergeEntry(section, name, Get(base_entries, name),
-                            Get(our_entries, name), Get(their_entries, name),
-                            conflicts);
+    Json entry =
+        MergeEntry(section, name, Get(base_entries, name),
+                   Get(our_entries, name), Get(their_entries, name), conflicts);
     if (!entry.is_null()) merged.push_back(std::move(entry));
   }
   return merged;
--- a/packages/protocol/include/sequoiapath/protocol/store_api.h
+++ b/packages/protocol/include/sequoiapath/protocol/store_api.h
@@ -14,7 +14,12 @@
 namespace sequoiapath {
 
 constexpr std::string_view kStoreRangePath = "/v3/kv/range";
+constexpr std::string_view kStorePutPath = "/v3/kv/put";
 constexpr std::string_view kStoreTxnPath = "/v3/kv/txn";
+constexpr std::string_view kStoreWatchPath = "/v3/watch";
+constexpr std::string_view kStoreLeaseGrantPath = "/v3/lease/grant";
+constexpr std::string_view kStoreLeaseKeepAlivePath = "/v3/lease/keepalive";
+constexpr std::string_view kStoreLeaseRevokePath = "/v3/lease/revoke";
 
 struct StoreEntry {
   std::string key;
@@ -27,7 +32,8 @@
   std::vector<StoreEntry> entries;
 };
 
-// Puts `puts` if each key in `conditions` has exactly the given mod revision.
+// Does `puts` and `deletes` if each key in `conditions` has exactly the given
+// mod revision.
 struct StoreTxn {
   struct Condition {
     std::string key;
@@ -37,8 +43,14 @@
     std::string key;
     std::string value;
   };
+  // Deletes the keys from `key` up to and without `end`.
+  struct DeleteRange {
+    std::string key;
+    std::string end;
+  };
   std::vector<Condition> conditions;
   std::vector<Put> puts;
+  std::vector<DeleteRange> deletes{};
 };
 
 struct TxnReply {
@@ -46,14 +58,38 @@
   bool succeeded = false;
 };
 
-// Returns the range request for one key, or for a prefix. Thread-safe.
+// A change of one key.
+struct StoreEvent {
+  StoreEntry entry;
+  bool deleted = false;
+};
+
+// One line of a watch stream. Without events it reports the creation, the
+// cancellation or the progress of the watch.
+struct WatchReply {
+  std::int64_t revision = 0;  // Of the store.
+  bool created = false;
+  bool canceled = false;
+  std::int64_t compact_revision = 0;  // Not zero: the start was compacted.
+  std::vector<StoreEvent> events;
+};
+
+// Returns the range request for one key, for a prefix, or for the last key of a
+// prefix. Thread-safe.
 std::string EncodeRangeKey(std::string_view key);
 std::string EncodeRangePrefix(std::string_view prefix);
+std::string EncodeRangeLast(std::string_view prefix);
 Result<RangeReply> DecodeRangeReply(std::string_view body);
 
 std::string EncodeTxn(const StoreTxn& txn);
 Result<TxnReply> DecodeTxnReply(std::string_view body);
 
+// Returns the request that watches one key from `start_revision` on.
+std::string EncodeWatch(std::string_view key, std::int64_t start_revision);
+
+// Parses one line of a watch stream. Thread-safe.
+Result<WatchReply> DecodeWatchReply(std::string_view line);
+
 // Standard base64 with padding. Thread-safe.
 std::string EncodeBase64(std::string_view bytes);
 Result<std::string> DecodeBase64(std::string_view text);
--- a/packages/protocol/src/store_api.cc
+++ b/packages/protocol/src/store_api.cc
@@ -34,6 +34,11 @@
   return bytes == nullptr ? "" : *bytes;
 }
 
+StoreEntry ReadEntry(const Json& kv) {
+  return {ReadBytes(kv, "key"), ReadBytes(kv, "value"),
+          ReadInt64(kv, "mod_revision")};
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -47,15 +52,22 @@
       .dump();
 }
 
+std::string EncodeRangeLast(std::string_view prefix) {
+  return internal::Json{{"key", EncodeBase64(prefix)},
+                        {"range_end", EncodeBase64(PrefixEnd(prefix))},
+                        {"sort_order", "DESCEND"},
+                        {"sort_target", "KEY"},
+                        {"limit", "1"}}
+      .dump();
+}
+
 Result<RangeReply> DecodeRangeReply(std::string_view body) {
   try {
     const auto json = internal::Json::parse(body);
     RangeReply reply;
     reply.revision = internal::ReadRevision(json);
     for (const auto& kv : json.value("kvs", internal::Json::array())) {
-      reply.entries.push_back({internal::ReadBytes(kv, "key"),
-                               internal::ReadBytes(kv, "value"),
-                               internal::ReadInt64(kv, "mod_revision")});
+      reply.entries.push_back(internal::ReadEntry(kv));
     }
     return reply;
   } catch (const std::exception&) {
@@ -78,9 +90,42 @@
                                 {{"key", EncodeBase64(put.key)},
                                  {"value", EncodeBase64(put.value)}}}});
   }
+  for (const auto& range : txn.deletes) {
+    json["success"].push_back({{"request_delete_range",
+                                {{"key", EncodeBase64(range.key)},
+                                 {"range_end", EncodeBase64(range.end)}}}});
+  }
   return json.dump();
 }
 
+std::string EncodeWatch(std::string_view key, std::int64_t start_revision) {
+  return internal::Json{{"create_request",
+                         {{"key", EncodeBase64(key)},
+                          {"start_revision", std::to_string(start_revision)},
+                          {"progress_notify", true}}}}
+      .dump();
+}
+
+Result<WatchReply> DecodeWatchReply(std::string_view line) {
+  try {
+    const auto json = internal::Json::parse(line);
+    const auto& result = json.at("result");
+    WatchReply reply;
+    reply.revision = internal::ReadRevision(result);
+    reply.created = result.value("created", false);
+    reply.canceled = result.value("canceled", false);
+    reply.compact_revision = internal::ReadInt64(result, "compact_revision");
+    for (const auto& event : result.value("events", internal::Json::array())) {
+      // The gateway omits the type of a put, which is the default.
+      reply.events.push_back({internal::ReadEntry(event.at("kv")),
+                              event.value("type", "PUT") == "DELETE"});
+    }
+    return reply;
+  } catch (const std::exception&) {
+    return internal::Malformed();
+  }
+}
+
 Result<TxnReply> DecodeTxnReply(std::string_view body) {
   try {
     const auto json = internal::Json::parse(body);
