Change the configuration safely and watch it

ConfigWatch does one read and one watch, takes greater generations only and raises an alarm for an older store. New commands: check, plan, history, revert-to.

--- a/packages/cli/command.h
+++ b/packages/cli/command.h
@@ -14,7 +14,11 @@
 
 // Each runs one subcommand; argv[0] is the subcommand's name.
 int RunSubmit(int argc, const char** argv);
+int RunCheck(int argc, const char** argv);
+int RunPlan(int argc, const char** argv);
 int RunApply(int argc, const char** argv);
+int RunHistory(int argc, const char** argv);
+int RunRevertTo(int argc, const char** argv);
 
 }  // namespace sequoiapath
 
--- a/packages/cli/main.cc
+++ b/packages/cli/main.cc
@@ -17,9 +17,13 @@
   int (*run)(int argc, const char** argv);
 };
 
-constexpr std::array<Command, 2> kCommands{{
+constexpr std::array<Command, 6> kCommands{{
     {"submit", "submit a job and print its answer", RunSubmit},
+    {"check", "validate a configuration file", RunCheck},
+    {"plan", "show what a configuration file would change", RunPlan},
     {"apply", "put a configuration file in force", RunApply},
+    {"history", "print the changes of the configuration", RunHistory},
+    {"revert-to", "put an earlier generation in force again", RunRevertTo},
 }};
 
 void PrintUsage(std::FILE* stream) {
--- /dev/null
+++ b/packages/state/include/sequoiapath/state/store_watch.h
@@ -0,0 +1,61 @@
+// Defines StoreWatch, a watch of one key of the platform's key-value service
+// that survives broken and silent connections.
+
+#ifndef SEQUOIAPATH_STATE_STORE_WATCH_H_
+#define SEQUOIAPATH_STATE_STORE_WATCH_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "sequoiapath/protocol/store_api.h"
+#include "sequoiapath/transport/event_loop.h"
+
+namespace sequoiapath {
+
+class StoreClient;
+
+namespace internal {
+struct StoreWatchState;
+}  // namespace internal
+
+struct StoreWatchOptions {
+  std::string key;
+  // The first revision whose changes are reported.
+  std::int64_t start_revision = 1;
+  // A stream without any line for this time is replaced: its connection may
+  // have gone silent. Changes must be in force within 15 s.
+  Duration max_silence = std::chrono::seconds(8);
+  // Waits after the first failure in a row; doubles up to `max_retry_delay`.
+  Duration retry_delay = std::chrono::milliseconds(100);
+  Duration max_retry_delay = std::chrono::seconds(2);
+};
+
+struct StoreWatchHandlers {
+  std::function<void(const StoreEvent&)> on_event;
+  // Changes may have been missed: the start revision was compacted, or the
+  // store is older than what was seen. The watch has ended; read the key and
+  // start a new one. Called at most once.
+  std::function<void(const std::string& reason)> on_reset;
+};
+
+// Reports each change of the key once, in order, until it is destroyed or
+// reset. Handlers may destroy the watch. Thread safety: loop thread only.
+class StoreWatch {
+ public:
+  // Preconditions: `loop` and `client` outlive the watch.
+  StoreWatch(EventLoop* loop, StoreClient* client, StoreWatchOptions options,
+             StoreWatchHandlers handlers);
+  ~StoreWatch();
+  StoreWatch(const StoreWatch&) = delete;
+  StoreWatch& operator=(const StoreWatch&) = delete;
+
+ private:
+  std::shared_ptr<internal::StoreWatchState> state;
+};
+
+}  // namespace sequoiapath
+
+#endif  // SEQUOIAPATH_STATE_STORE_WATCH_H_
--- a/packages/state/src/daemon.cc
+++ b/packages/state/src/daemon.cc
@@ -7,6 +7,7 @@
 
 #include "sequoiapath/coordination/catalog.h"
 #include "sequoiapath/state/caller_api.h"
+#include "sequoiapath/state/config_watch.h"
 #include "sequoiapath/state/job_runner.h"
 #include "sequoiapath/state/log.h"
 #include "sequoiapath/state/store_client.h"
@@ -16,9 +17,7 @@
 namespace internal {
 
 constexpr auto kStoreTimeout = std::chrono::seconds(2);
-constexpr auto kStorePollInterval = std::chrono::seconds(1);
 constexpr auto kStopPollInterval = std::chrono::milliseconds(20);
-constexpr const char* kConfigKey = "/sequoiapath/config";
 
 Incarnation DrawIncarnation() {
   std::random_device device;
@@ -41,6 +40,7 @@
   JobRunner runner;
   CallerApi caller_api;
   StoreClient store;
+  std::unique_ptr<ConfigWatch> config_watch;
   std::unique_ptr<HttpServer> caller_server;
   std::uint64_t generation = 0;
   bool stopping = false;
@@ -65,29 +65,6 @@
       {{"generation", record.generation}, {"change_id", record.change_id}});
 }
 
-void OnConfigRead(DaemonState* daemon, const Result<RangeReply>& result) {
-  if (const Failure* failure = GetFailure(result)) {
-    Log(LogLevel::kWarning, "store_unavailable", {{"detail", failure->detail}});
-    return;
-  }
-  const auto& reply = std::get<RangeReply>(result);
-  if (reply.entries.empty()) return;
-  const auto record = DecodeConfigRecord(reply.entries.front().value);
-  if (const Failure* failure = GetFailure(record)) {
-    Log(LogLevel::kError, "config_invalid", {{"detail", failure->detail}});
-    return;
-  }
-  AdoptConfig(daemon, std::get<ConfigRecord>(record));
-}
-
-void PollConfig(DaemonState* daemon) {
-  daemon->store.GetKey(kConfigKey, [daemon](const Result<RangeReply>& result) {
-    OnConfigRead(daemon, result);
-    daemon->loop->Schedule(kStorePollInterval,
-                           [daemon] { PollConfig(daemon); });
-  });
-}
-
 void PollStop(DaemonState* daemon, TimePoint give_up) {
   const bool drained = daemon->runner.RunningJobs() == 0 &&
                        daemon->caller_server->PendingRequests() == 0;
@@ -142,7 +119,10 @@
   }
   daemon->caller_server =
       std::get<std::unique_ptr<HttpServer>>(std::move(server));
-  internal::PollConfig(daemon);
+  daemon->config_watch = std::make_unique<ConfigWatch>(
+      this->loop, &daemon->store, [daemon](const ConfigRecord& record) {
+        internal::AdoptConfig(daemon, record);
+      });
   return std::unique_ptr<Daemon>(new Daemon(std::move(state)));
 }
 
--- a/packages/state/src/store_client.cc
+++ b/packages/state/src/store_client.cc
@@ -30,13 +30,22 @@
   return std::move(response.body);
 }
 
+HttpRequest MakePost(std::string_view path, std::string body) {
+  HttpRequest request;
+  request.method = "POST";
+  request.path = std::string(path);
+  request.headers = {{"content-type", "application/json"}};
+  request.body = std::move(body);
+  return request;
+}
+
 }  // namespace
 }  // namespace internal
 
 StoreClient::StoreClient(EventLoop* loop,
                          const std::vector<Endpoint>& endpoints,
                          Duration timeout)
-    : timeout(timeout) {
+    : loop(loop), timeout(timeout) {
   for (const Endpoint& endpoint : endpoints) {
     this->clients.push_back(HttpClientBuilder(loop, endpoint).Build());
   }
@@ -52,6 +61,11 @@
   this->Range(EncodeRangePrefix(prefix), std::move(callback));
 }
 
+void StoreClient::GetLast(const std::string& prefix,
+                          std::function<void(Result<RangeReply>)> callback) {
+  this->Range(EncodeRangeLast(prefix), std::move(callback));
+}
+
 void StoreClient::Range(std::string body,
                         std::function<void(Result<RangeReply>)> callback) {
   this->Post(kStoreRangePath, std::move(body),
@@ -76,23 +90,46 @@
              });
 }
 
+std::unique_ptr<StoreWatch> StoreClient::Watch(StoreWatchOptions options,
+                                               StoreWatchHandlers handlers) {
+  return std::make_unique<StoreWatch>(this->loop, this, std::move(options),
+                                      std::move(handlers));
+}
+
+StoreStreamId StoreClient::Stream(
+    std::string_view path, std::string body, Duration max_duration,
+    HttpChunkCallback on_chunk,
+    std::function<void(Result<std::string>)> on_end) {
+  const std::size_t used = this->current;
+  const HttpRequestId request = this->clients[used]->SendStreaming(
+      internal::MakePost(path, std::move(body)), max_duration,
+      std::move(on_chunk), this->OnReply(used, std::move(on_end)));
+  return {used, request};
+}
+
+void StoreClient::CancelStream(StoreStreamId id) {
+  if (id.request != 0) this->clients[id.client]->Cancel(id.request);
+}
+
 void StoreClient::Post(std::string_view path, std::string body,
                        BodyCallback callback) {
-  HttpRequest request;
-  request.method = "POST";
-  request.path = std::string(path);
-  request.headers = {{"content-type", "application/json"}};
-  request.body = std::move(body);
   const std::size_t used = this->current;
-  this->clients[used]->Send(
-      std::move(request), this->timeout,
-      [this, used, callback = std::move(callback)](HttpResult result) {
-        Result<std::string> reply = internal::ToBody(std::move(result));
-        if (GetFailure(reply) != nullptr && this->current == used) {
-          this->current = (used + 1) % this->clients.size();
-        }
-        callback(std::move(reply));
-      });
+  this->clients[used]->Send(internal::MakePost(path, std::move(body)),
+                            this->timeout,
+                            this->OnReply(used, std::move(callback)));
+}
+
+HttpCallback StoreClient::OnReply(std::size_t used, BodyCallback callback) {
+  return [this, used, callback = std::move(callback)](HttpResult result) {
+    const auto* error = std::get_if<HttpError>(&result);
+    const bool cancelled =
+        error != nullptr && error->kind == HttpErrorKind::kCancelled;
+    Result<std::string> reply = internal::ToBody(std::move(result));
+    if (GetFailure(reply) != nullptr && !cancelled && this->current == used) {
+      this->current = (used + 1) % this->clients.size();
+    }
+    callback(std::move(reply));
+  };
 }
 
 }  // namespace sequoiapath
--- a/tests/correctness/config_change_test.cc
+++ b/tests/correctness/config_change_test.cc
@@ -24,7 +24,8 @@
             "+ data_centres \"armadale\": "
             R"({"name":"armadale","neighbours":[],"region":""})");
   EXPECT_EQ(FormatChange(changes[1]), "- teams \"school-0001\"");
-  EXPECT_EQ(FormatChange(changes[2]), "~ workers \"worker-00001\" slots: 8 -> 4");
+  EXPECT_EQ(FormatChange(changes[2]),
+            "~ workers \"worker-00001\" slots: 8 -> 4");
   EXPECT_TRUE(DiffDocuments(from, from).empty());
 }
 
@@ -56,8 +57,8 @@
   const auto* conflicts = std::get_if<FieldConflicts>(&result);
   ASSERT_NE(conflicts, nullptr);
   ASSERT_EQ(conflicts->size(), 2U);
-  EXPECT_EQ((*conflicts)[0], (FieldConflict{"teams", "school-0000", "quota",
-                                            "10", "20", "30"}));
+  EXPECT_EQ((*conflicts)[0],
+            (FieldConflict{"teams", "school-0000", "quota", "10", "20", "30"}));
   EXPECT_EQ((*conflicts)[1].field, "");
   EXPECT_EQ((*conflicts)[1].ours, "");
 }
--- /dev/null
+++ b/tests/error/config_watch_test.cc
@@ -0,0 +1,185 @@
+// Guards the daemon's view of the configuration against each failure of the
+// store: every change arrives, once, and generations never decrease.
+
+#include "sequoiapath/state/config_watch.h"
+
+#include <gtest/gtest.h>
+
+#include "store_bench.h"
+
+namespace sequoiapath {
+namespace {
+
+class ConfigWatchTest : public testing::Test {
+ protected:
+  // Starts a watch whose client only it uses.
+  void Start() {
+    this->watch_client = this->bench.NewClient();
+    this->watch = std::make_unique<ConfigWatch>(
+        &this->bench.loop, this->watch_client.get(),
+        [this](const ConfigRecord& record) {
+          this->seen.push_back(record.generation);
+        });
+  }
+
+  void ApplyQuota(int quota) {
+    Document document = SampleDocument(2);
+    document.teams[0].quota = quota;
+    ASSERT_EQ(this->bench.Apply(document).outcome, ChangeOutcome::kApplied);
+  }
+
+  bool WaitForGeneration(std::uint64_t generation,
+                         Duration limit = std::chrono::seconds(15)) {
+    return this->bench.RunUntil(
+        [&] { return !this->seen.empty() && this->seen.back() == generation; },
+        limit);
+  }
+
+  bool WaitForOpenWatches(std::uint64_t calls) {
+    return this->bench.RunUntil([&] {
+      const auto& counted = this->bench.fake.Calls();
+      return counted.contains("watch") && counted.at("watch") >= calls;
+    });
+  }
+
+  StoreBench bench;
+  std::unique_ptr<StoreClient> watch_client;
+  std::unique_ptr<ConfigWatch> watch;
+  std::vector<std::uint64_t> seen;
+};
+
+using Generations = std::vector<std::uint64_t>;
+
+// Polling would cost a call each second; a waiting watch costs one.
+TEST_F(ConfigWatchTest, EachChangeArrivesOverOneReadAndOneWatch) {
+  this->ApplyQuota(1);
+  this->Start();
+  ASSERT_TRUE(this->WaitForGeneration(1));
+  ASSERT_TRUE(this->WaitForOpenWatches(1));
+  const auto ranges = this->bench.fake.Calls().at("range");
+  this->bench.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(this->bench.fake.Calls().at("range"), ranges);
+  EXPECT_EQ(this->bench.fake.Calls().at("watch"), 1U);
+  const TimePoint start = this->bench.loop.Now();
+  this->ApplyQuota(2);
+  ASSERT_TRUE(this->WaitForGeneration(2));
+  fmt::print("change in force after {} us\n",
+             std::chrono::duration_cast<std::chrono::microseconds>(
+                 this->bench.loop.Now() - start)
+                 .count());
+  this->ApplyQuota(3);
+  ASSERT_TRUE(this->WaitForGeneration(3));
+  EXPECT_EQ(this->seen, (Generations{1, 2, 3}));
+}
+
+TEST_F(ConfigWatchTest, FirstDocumentArrivesWhenTheStoreWasEmpty) {
+  this->Start();
+  ASSERT_TRUE(this->WaitForOpenWatches(1));
+  this->ApplyQuota(1);
+  EXPECT_TRUE(this->WaitForGeneration(1));
+}
+
+TEST_F(ConfigWatchTest, ChangeDuringAnOutageOfTheWatchArrives) {
+  this->ApplyQuota(1);
+  this->Start();
+  ASSERT_TRUE(this->WaitForOpenWatches(1));
+  this->bench.Control(R"({"down": true})");
+  this->bench.RunFor(std::chrono::milliseconds(500));
+  this->bench.Control(R"({"down": false})");
+  this->ApplyQuota(2);
+  EXPECT_TRUE(this->WaitForGeneration(2));
+  EXPECT_EQ(this->seen, (Generations{1, 2}));
+}
+
+TEST_F(ConfigWatchTest, StoreThatIsDownAtTheStartIsReadLater) {
+  this->ApplyQuota(1);
+  this->bench.Control(R"({"down": true})");
+  this->Start();
+  this->bench.RunFor(std::chrono::milliseconds(300));
+  this->bench.Control(R"({"down": false})");
+  EXPECT_TRUE(this->WaitForGeneration(1));
+}
+
+// Changes must be in force within 15 s even if the stream went silent.
+TEST_F(ConfigWatchTest, SilentWatchIsReplaced) {
+  this->ApplyQuota(1);
+  this->Start();
+  ASSERT_TRUE(this->WaitForOpenWatches(1));
+  this->bench.Control(R"({"mute_watches": true})");
+  this->ApplyQuota(2);
+  EXPECT_TRUE(this->WaitForGeneration(2, std::chrono::seconds(15)));
+  EXPECT_EQ(this->seen, (Generations{1, 2}));
+}
+
+TEST_F(ConfigWatchTest, ProgressNoticesKeepAQuietWatch) {
+  this->ApplyQuota(1);
+  this->bench.Control(R"({"progress_ms": 1000})");
+  this->Start();
+  ASSERT_TRUE(this->WaitForOpenWatches(1));
+  this->bench.RunFor(std::chrono::seconds(10));
+  EXPECT_EQ(this->bench.fake.Calls().at("watch"), 1U);
+}
+
+TEST_F(ConfigWatchTest, LateDeliveryChangesNothingButTheTime) {
+  this->ApplyQuota(1);
+  this->Start();
+  ASSERT_TRUE(this->WaitForOpenWatches(1));
+  this->bench.Control(R"({"watch_delay_ms": 700})");
+  this->ApplyQuota(2);
+  this->ApplyQuota(3);
+  EXPECT_TRUE(this->WaitForGeneration(3));
+  EXPECT_EQ(this->seen, (Generations{1, 2, 3}));
+}
+
+TEST_F(ConfigWatchTest, CompactionLeadsToARead) {
+  this->ApplyQuota(1);
+  this->Start();
+  ASSERT_TRUE(this->WaitForOpenWatches(1));
+  this->bench.Control(R"({"mute_watches": true})");
+  this->ApplyQuota(2);
+  this->ApplyQuota(3);
+  this->bench.Control(R"({"compact": true})");
+  EXPECT_TRUE(this->WaitForGeneration(3));
+  EXPECT_EQ(this->seen, (Generations{1, 3}));
+}
+
+// G8: what is in force never reverts.
+TEST_F(ConfigWatchTest, OlderStoreRaisesAnAlarmAndChangesNothing) {
+  this->ApplyQuota(1);
+  this->bench.Control(R"({"snapshot": true})");
+  this->ApplyQuota(2);
+  this->ApplyQuota(3);
+  this->Start();
+  ASSERT_TRUE(this->WaitForGeneration(3));
+  ASSERT_TRUE(this->WaitForOpenWatches(1));
+  this->bench.Control(R"({"restore": true})");
+  ASSERT_TRUE(this->bench.RunUntil([&] { return this->watch->Alarms() > 0; }));
+  this->ApplyQuota(9);  // Becomes generation 2 again.
+  ASSERT_TRUE(this->bench.RunUntil([&] { return this->watch->Alarms() > 1; }));
+  Document document = SampleDocument(2);
+  EXPECT_EQ(this->bench.Apply(document, {}, 10).generation, 10U);
+  EXPECT_TRUE(this->WaitForGeneration(10));
+  EXPECT_EQ(this->seen, (Generations{3, 10}));
+}
+
+TEST_F(ConfigWatchTest, RecordFromAPeerIsNotReportedAgain) {
+  this->ApplyQuota(1);
+  this->Start();
+  ASSERT_TRUE(this->WaitForOpenWatches(1));
+  ConfigRecord record;
+  record.generation = 2;
+  record.digest = Sha256Hex(EncodeDocument([] {
+    Document document = SampleDocument(2);
+    document.teams[0].quota = 2;
+    return document;
+  }()));
+  this->watch->NoteInForce(record);
+  this->ApplyQuota(2);
+  this->ApplyQuota(3);
+  EXPECT_TRUE(this->WaitForGeneration(3));
+  EXPECT_EQ(this->seen, (Generations{1, 3}));
+  EXPECT_EQ(this->watch->Alarms(), 0U);
+}
+
+}  // namespace
+}  // namespace sequoiapath
