--- a/packages/cli/command.h
+++ b/packages/cli/command.h
@@ -16,10 +16,14 @@
 int RunSession(int argc, const char** argv);
 int RunCancel(int argc, const char** argv);
 int RunSubmit(int argc, const char** argv);
+int RunCheck(int argc, const char** argv);
+int RunPlan(int argc, const char** argv);
 int RunApply(int argc, const char** argv);
 int RunStatus(int argc, const char** argv);
 int RunLate(int argc, const char** argv);
 int RunLoad(int argc, const char** argv);
+int RunHistory(int argc, const char** argv);
+int RunRevertTo(int argc, const char** argv);
 
 }  // namespace sequoiapath
 
--- a/packages/state/src/daemon.cc
+++ b/packages/state/src/daemon.cc
@@ -8,6 +8,7 @@
 
 #include "sequoiapath/coordination/catalog.h"
 #include "sequoiapath/state/caller_api.h"
+#include "sequoiapath/state/config_watch.h"
 #include "sequoiapath/state/job_runner.h"
 #include "sequoiapath/state/log.h"
 #include "sequoiapath/state/observation.h"
@@ -19,10 +20,8 @@
 namespace internal {
 
 constexpr auto kStoreTimeout = std::chrono::seconds(2);
-constexpr auto kStorePollInterval = std::chrono::seconds(1);
 constexpr auto kLogReportInterval = std::chrono::seconds(1);
 constexpr auto kStopPollInterval = std::chrono::milliseconds(20);
-constexpr const char* kConfigKey = "/sequoiapath/config";
 
 Incarnation DrawIncarnation() {
   std::random_device device;
@@ -45,6 +44,7 @@
   JobRunner runner;
   CallerApi caller_api;
   StoreClient store;
+  std::unique_ptr<ConfigWatch> config_watch;
   std::unique_ptr<HttpServer> caller_server;
   Observer observer;
   std::shared_ptr<const Catalog> catalog;
@@ -74,29 +74,6 @@
       {{"generation", record.generation}, {"change_id", record.change_id}});
 }
 
-void OnConfigRead(DaemonState* daemon, const Result<RangeReply>& result) {
-  if (const Failure* failure = GetFailure(result)) {
-    Log(LogLevel::kWarning, "store_unavailable", {{"detail", failure->detail}});
-    return;
-  }
-  const auto& reply = std::get<RangeReply>(result);
-  if (reply.entries.empty()) return;
-  const auto record = DecodeConfigRecord(reply.entries.front().value);
-  if (const Failure* failure = GetFailure(record)) {
-    Log(LogLevel::kError, "config_invalid", {{"detail", failure->detail}});
-    return;
-  }
-  AdoptConfig(daemon, std::get<ConfigRecord>(record));
-}
-
-void PollConfig(DaemonState* daemon) {
-  daemon->store.GetKey(kConfigKey, [daemon](const Result<RangeReply>& result) {
-    OnConfigRead(daemon, result);
-    daemon->loop->Schedule(kStorePollInterval,
-                           [daemon] { PollConfig(daemon); });
-  });
-}
-
 DaemonStatus StatusOf(const DaemonState& daemon) {
   return {daemon.settings.vm,
           daemon.settings.data_centre,
@@ -204,7 +181,10 @@
       std::get<std::unique_ptr<HttpServer>>(std::move(server));
   if (auto error = internal::ServeOperators(daemon)) return *std::move(error);
   internal::ReportLogPeriodically(daemon);
-  internal::PollConfig(daemon);
+  daemon->config_watch = std::make_unique<ConfigWatch>(
+      this->loop, &daemon->store, [daemon](const ConfigRecord& record) {
+        internal::AdoptConfig(daemon, record);
+      });
   return std::unique_ptr<Daemon>(new Daemon(std::move(state)));
 }
 
--- a/tests/correctness/config_spread_test.cc
+++ b/tests/correctness/config_spread_test.cc
@@ -14,6 +14,7 @@
 ConfigRecord MakeRecord(std::uint64_t generation, int workers,
                         const std::string& change_id = "c") {
   Document document;
+  document.data_centres.push_back({"heredia", "region-1", {}});
   for (int i = 0; i < workers; ++i) {
     WorkerSpec worker;
     worker.name = "w-" + std::to_string(100000 + i);
