--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -18,4 +18,4 @@
 if [ $# -gt 0 ]; then files=("$@"); else
   mapfile -t files < <(find packages tests bench -name '*.cc' | sort)
 fi
-printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -I{} bash -c 'lint_one {}'
+printf '%s\n' "${files[@]}" | xargs -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
