--- a/bench/config_spread_cost.cc
+++ b/bench/config_spread_cost.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <string>
 
+#include "sample_document.h"
 #include "sequoiapath/coordination/catalog.h"
 #include "sequoiapath/protocol/config_patch.h"
 
@@ -14,29 +15,6 @@
 namespace internal {
 namespace {
 
-ConfigRecord MakeRecord(std::uint64_t generation, int workers, int quota) {
-  Document document;
-  for (int i = 0; i < workers; ++i) {
-    WorkerSpec worker;
-    worker.name = fmt::format("worker-{:05}", i);
-    worker.data_centre = fmt::format("data-centre-{:02}", i % 16);
-    worker.rack = fmt::format("rack-{:04}", i / 8);
-    worker.address = {fmt::format("10.{}.{}.{}", i % 16, i / 256, i % 256),
-                      8080};
-    worker.cores = 16;
-    worker.memory_mb = 32768;
-    worker.accelerators = 1;
-    document.workers.push_back(worker);
-  }
-  for (int i = 0; i < 170; ++i) {
-    document.teams.push_back({fmt::format("team-{:03}", i), quota, 1});
-  }
-  ConfigRecord record{generation, "0123456789abcdef", "",
-                      EncodeDocument(document)};
-  record.digest = Sha256Hex(record.document);
-  return record;
-}
-
 // Returns the run time of `work` in milliseconds, the best of five runs.
 template <typename Work>
 double BestMilliseconds(const Work& work) {
@@ -51,10 +29,12 @@
   return best;
 }
 
-void Measure(int workers) {
-  const ConfigRecord before = MakeRecord(1, workers, 100);
+void Measure(std::size_t workers) {
+  const ConfigRecord before =
+      MakeSampleRecord(1, MakeSampleDocument(workers, 100));
   // The change adds one worker and sets the quota of every team.
-  const ConfigRecord after = MakeRecord(2, workers + 1, 101);
+  const ConfigRecord after =
+      MakeSampleRecord(2, MakeSampleDocument(workers + 1, 101));
   const ConfigPatch patch = MakeConfigPatch(before, after);
   const std::string compressed = CompressDocument(after.document);
   const double make = BestMilliseconds([&] { MakeConfigPatch(before, after); });
@@ -76,7 +56,7 @@
   fmt::print("{:>8} {:>12} {:>12} {:>12} {:>10} {:>10} {:>10}\n", "workers",
              "document B", "zstd B", "patch B", "make ms", "apply ms",
              "adopt ms");
-  for (const int workers : {50, 500, 1000, 2000, 4200}) {
+  for (const std::size_t workers : {50, 500, 1000, 2000, 4200}) {
     sequoiapath::internal::Measure(workers);
   }
   return 0;
--- a/bench/state_memory.cc
+++ b/bench/state_memory.cc
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "sample_document.h"
 #include "sequoiapath/coordination/catalog.h"
 #include "sequoiapath/coordination/config_spread.h"
 #include "sequoiapath/coordination/member_view.h"
@@ -40,39 +41,6 @@
 
 std::string VmName(std::size_t i) { return fmt::format("entry-vm-{:05}", i); }
 
-Document MakeDocument(std::size_t workers) {
-  Document document;
-  for (int i = 0; i < 16; ++i) {
-    document.data_centres.push_back(
-        {fmt::format("data-centre-{:02}", i), "region", {}});
-  }
-  ServiceSpec service;
-  service.name = "check";
-  document.services.push_back(service);
-  for (std::size_t i = 0; i < workers; ++i) {
-    WorkerSpec worker;
-    worker.name = fmt::format("worker-{:05}", i);
-    worker.data_centre = fmt::format("data-centre-{:02}", i % 16);
-    worker.rack = fmt::format("rack-{:04}", i / 8);
-    worker.address = {fmt::format("10.{}.{}.{}", i % 16, i / 256, i % 256),
-                      8080};
-    worker.cores = 16;
-    worker.memory_mb = 32768;
-    worker.accelerators = 1;
-    document.workers.push_back(worker);
-  }
-  for (int i = 0; i < 170; ++i) {
-    document.teams.push_back({fmt::format("team-{:03}", i), 1000, 1});
-  }
-  return document;
-}
-
-ConfigRecord MakeRecord(const Document& document) {
-  ConfigRecord record{1, "0123456789abcdef", "", EncodeDocument(document)};
-  record.digest = Sha256Hex(record.document);
-  return record;
-}
-
 std::unique_ptr<SessionTable> OpenSessions(std::size_t count) {
   auto table = std::make_unique<SessionTable>();
   table->incarnation = 1;
@@ -141,7 +109,7 @@
 
 std::unique_ptr<ShareLedger> OwnWorkers(std::size_t count) {
   auto ledger = std::make_unique<ShareLedger>();
-  SetWorkers(ledger.get(), MakeDocument(count).workers);
+  SetWorkers(ledger.get(), MakeSampleDocument(count).workers);
   return ledger;
 }
 
@@ -181,11 +149,12 @@
   Measure("worker in the ledger", 4200, OwnWorkers);
   for (const std::size_t workers : {50, 500, 4200}) {
     Measure("catalog, by worker", workers, [](std::size_t count) {
-      const Document document = MakeDocument(count);
-      return MakeCatalog(MakeRecord(document), document);
+      const Document document = MakeSampleDocument(count);
+      return MakeCatalog(MakeSampleRecord(1, document), document);
+    });
+    Measure("canonical document, by worker", workers, [](std::size_t count) {
+      return MakeSampleRecord(1, MakeSampleDocument(count));
     });
-    Measure("canonical document, by worker", workers,
-            [](std::size_t count) { return MakeRecord(MakeDocument(count)); });
   }
   PrintMessageSizes();
 }
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -20,6 +20,7 @@
 #include <utility>
 #include <vector>
 
+#include "loop_testing.h"
 #include "sequoiapath/transport/endpoint.h"
 #include "sequoiapath/transport/event_loop.h"
 
@@ -119,22 +120,8 @@
   std::vector<std::thread> threads;
 };
 
-// Runs the loop until `done` holds; false after `limit`.
-inline bool RunUntil(EventLoop* loop, const std::function<bool()>& done,
-                     Duration limit = std::chrono::seconds(10)) {
-  const TimePoint end = loop->Now() + limit;
-  while (!done()) {
-    if (loop->Now() >= end) return false;
-    loop->RunOnce(std::chrono::milliseconds(5));
-  }
-  return true;
-}
-
-// Runs the loop for a time.
-inline void RunFor(EventLoop* loop, Duration time) {
-  RunUntil(
-      loop, [] { return false; }, time);
-}
+using sequoiapath::RunFor;
+using sequoiapath::RunUntil;
 
 }  // namespace sequoiapath::test
 
