Print the peak memory of a configuration change

Cause: CAPACITY must say whether a change of the largest document fits 64 MB.

Change: bench/config_spread_cost prints the peak resident size.

--- a/bench/config_spread_cost.cc
+++ b/bench/config_spread_cost.cc
@@ -3,6 +3,7 @@
 // documents of several sizes.
 
 #include <fmt/format.h>
+#include <sys/resource.h>
 
 #include <chrono>
 #include <string>
@@ -29,6 +30,13 @@
   return best;
 }
 
+// Returns the largest resident size of this process so far, in KB.
+long PeakResidentKb() {  // NOLINT(google-runtime-int): the type of ru_maxrss.
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return usage.ru_maxrss;
+}
+
 void Measure(std::size_t workers) {
   const ConfigRecord before =
       MakeSampleRecord(1, MakeSampleDocument(workers, 100));
@@ -43,9 +51,11 @@
   const double adopt = BestMilliseconds([&] {
     MakeCatalog(after, std::get<Document>(ParseDocumentJson(after.document)));
   });
-  fmt::print("{:>8} {:>12} {:>12} {:>12} {:>10.2f} {:>10.2f} {:>10.2f}\n",
-             workers, after.document.size(), compressed.size(),
-             patch.patch.size(), make, apply, adopt);
+  fmt::print(
+      "{:>8} {:>12} {:>12} {:>12} {:>10.2f} {:>10.2f} {:>10.2f} "
+      "{:>10}\n",
+      workers, after.document.size(), compressed.size(), patch.patch.size(),
+      make, apply, adopt, PeakResidentKb());
 }
 
 }  // namespace
@@ -53,9 +63,9 @@
 }  // namespace sequoiapath
 
 int main() {
-  fmt::print("{:>8} {:>12} {:>12} {:>12} {:>10} {:>10} {:>10}\n", "workers",
-             "document B", "zstd B", "patch B", "make ms", "apply ms",
-             "adopt ms");
+  fmt::print("{:>8} {:>12} {:>12} {:>12} {:>10} {:>10} {:>10} {:>10}\n",
+             "workers", "document B", "zstd B", "patch B", "make ms",
+             "apply ms", "adopt ms", "peak KB");
   for (const std::size_t workers : {50, 500, 1000, 2000, 4200}) {
     sequoiapath::internal::Measure(workers);
   }
