Spread the configuration between daemons, observe jobs, connect the console

Cause: every daemon watched the store itself, so a daemon without the store had no configuration, and a fleet put one watch per daemon on it. The metrics, the late log and the console showed nothing of real requests.

Change: ConfigKeeper watches the store only on two daemons of a data centre; the others pull from peers that announce a greater generation in heartbeats, or get the configuration with the reply to a join. A failed patch is followed by a pull of the whole document; a document that does not validate is skipped. The daemon starts PeerService and Membership. Answered jobs, tasks, messages and control bytes are counted; the console proposes, submits and lists changes through ConfigStore, and a repeated change id is not applied twice. An event of a watch that lags behind a peer no longer raises an alarm.

FieldChange and FieldConflict were defined twice in one namespace; the console now uses those of config_change.h.

The time that a patch of a large document blocks the loop is unchanged.

--- a/packages/coordination/include/sequoiapath/coordination/config_spread.h
+++ b/packages/coordination/include/sequoiapath/coordination/config_spread.h
@@ -93,6 +93,17 @@
 // smaller than the document, else the whole document.
 PullReply AnswerPull(const ConfigSpread& spread, std::uint64_t generation);
 
+// Returns the record that a reply leads to without adopting it, so that its
+// document can be checked first; absent if the reply carries none. Fails as
+// ApplyPullReply does.
+Result<std::optional<ConfigRecord>> ResolvePullReply(const ConfigSpread& spread,
+                                                     const PullReply& reply);
+
+// Adopts the record that ResolvePullReply returned for `reply`. The received
+// patches are kept for other peers.
+AdoptOutcome AdoptResolved(ConfigSpread* spread, ConfigRecord record,
+                           PullReply reply);
+
 // Applies a reply. Fails if a patch does not fit; the caller then pulls again
 // with generation zero to get the whole document.
 Result<AdoptOutcome> ApplyPullReply(ConfigSpread* spread, PullReply reply);
--- a/packages/coordination/src/config_spread.cc
+++ b/packages/coordination/src/config_spread.cc
@@ -39,27 +39,20 @@
   return same ? AdoptOutcome::kAlreadyInForce : AdoptOutcome::kConflict;
 }
 
-// The received patches are kept for other peers; making them again would cost
-// more than applying them.
-Result<AdoptOutcome> ApplyPatches(ConfigSpread* spread, PatchChain chain) {
-  if (!spread->current) {
+Result<ConfigRecord> ApplyPatches(const ConfigSpread& spread,
+                                  const PatchChain& chain) {
+  if (!spread.current) {
     return Failure{Verdict::kNotRun, Reason::kConflict,
                    RetryAdvice::kSameSequence, std::nullopt,
                    "patches need a configuration to apply to"};
   }
-  ConfigRecord record = *spread->current;
+  ConfigRecord record = *spread.current;
   for (const ConfigPatch& patch : chain.patches) {
     Result<ConfigRecord> next = ApplyConfigPatch(record, patch);
     if (const Failure* failure = GetFailure(next)) return *failure;
     record = std::get<ConfigRecord>(std::move(next));
   }
-  const AdoptOutcome outcome = CompareWithCurrent(*spread, record);
-  if (outcome != AdoptOutcome::kAdopted) return outcome;
-  for (ConfigPatch& patch : chain.patches) {
-    RememberPatch(spread, std::move(patch));
-  }
-  spread->current = std::move(record);
-  return outcome;
+  return record;
 }
 
 }  // namespace
@@ -141,14 +134,38 @@
   return chain;
 }
 
-Result<AdoptOutcome> ApplyPullReply(ConfigSpread* spread, PullReply reply) {
-  if (auto* whole = std::get_if<WholeDocument>(&reply)) {
-    return AdoptRecord(spread, std::move(whole->record));
+Result<std::optional<ConfigRecord>> ResolvePullReply(const ConfigSpread& spread,
+                                                     const PullReply& reply) {
+  if (const auto* whole = std::get_if<WholeDocument>(&reply)) {
+    return std::optional(whole->record);
   }
-  if (auto* chain = std::get_if<PatchChain>(&reply)) {
-    return internal::ApplyPatches(spread, std::move(*chain));
+  const auto* chain = std::get_if<PatchChain>(&reply);
+  if (chain == nullptr) return std::optional<ConfigRecord>();
+  Result<ConfigRecord> patched = internal::ApplyPatches(spread, *chain);
+  if (const Failure* failure = GetFailure(patched)) return *failure;
+  return std::optional(std::get<ConfigRecord>(std::move(patched)));
+}
+
+// Making received patches again would cost more than applying them.
+AdoptOutcome AdoptResolved(ConfigSpread* spread, ConfigRecord record,
+                           PullReply reply) {
+  auto* chain = std::get_if<PatchChain>(&reply);
+  if (chain == nullptr) return AdoptRecord(spread, std::move(record));
+  const AdoptOutcome outcome = internal::CompareWithCurrent(*spread, record);
+  if (outcome != AdoptOutcome::kAdopted) return outcome;
+  for (ConfigPatch& patch : chain->patches) {
+    internal::RememberPatch(spread, std::move(patch));
   }
-  return AdoptOutcome::kAlreadyInForce;
+  spread->current = std::move(record);
+  return outcome;
+}
+
+Result<AdoptOutcome> ApplyPullReply(ConfigSpread* spread, PullReply reply) {
+  auto resolved = ResolvePullReply(*spread, reply);
+  if (const Failure* failure = GetFailure(resolved)) return *failure;
+  auto& record = std::get<std::optional<ConfigRecord>>(resolved);
+  if (!record) return AdoptOutcome::kAlreadyInForce;
+  return AdoptResolved(spread, *std::move(record), std::move(reply));
 }
 
 }  // namespace sequoiapath
--- a/packages/protocol/include/sequoiapath/protocol/config_patch.h
+++ b/packages/protocol/include/sequoiapath/protocol/config_patch.h
@@ -36,6 +36,12 @@
 Result<ConfigRecord> ApplyConfigPatch(const ConfigRecord& record,
                                       const ConfigPatch& patch);
 
+// Returns the form in which a patch travels between daemons. Thread-safe.
+std::string EncodeConfigPatch(const ConfigPatch& patch);
+
+// Reverses EncodeConfigPatch. Fails with kInvalidRequest. Thread-safe.
+Result<ConfigPatch> DecodeConfigPatch(std::string_view bytes);
+
 // Compresses a document with zstd. Thread-safe.
 std::string CompressDocument(std::string_view document);
 
--- a/packages/protocol/include/sequoiapath/protocol/peer_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/peer_message.h
@@ -114,7 +114,7 @@
 // How a ConfigPullReply carries the configuration.
 enum class ConfigForm {
   kNone = 0,      // The asker is not behind.
-  kPatches = 1,   // `parts` are JSON patches, oldest first.
+  kPatches = 1,   // `parts` are encoded ConfigPatches, oldest first.
   kDocument = 2,  // `parts` holds the whole document, compressed with zstd.
 };
 
--- a/packages/protocol/src/config_patch.cc
+++ b/packages/protocol/src/config_patch.cc
@@ -77,6 +77,27 @@
   return result;
 }
 
+std::string EncodeConfigPatch(const ConfigPatch& patch) {
+  const internal::Json fields{patch.from, patch.to, patch.change_id,
+                              patch.digest, patch.patch};
+  std::string bytes;
+  internal::Json::to_msgpack(fields, bytes);
+  return bytes;
+}
+
+Result<ConfigPatch> DecodeConfigPatch(std::string_view bytes) {
+  try {
+    const auto fields =
+        internal::Json::from_msgpack(bytes.begin(), bytes.end());
+    return ConfigPatch{
+        fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::uint64_t>(),
+        fields.at(2).get<std::string>(), fields.at(3).get<std::string>(),
+        fields.at(4).get<std::string>()};
+  } catch (const internal::Json::exception& error) {
+    return internal::Refuse(Reason::kInvalidRequest, error.what());
+  }
+}
+
 std::string CompressDocument(std::string_view document) {
   std::string compressed(ZSTD_compressBound(document.size()), '\0');
   const std::size_t size =
--- a/packages/state/include/sequoiapath/state/caller_api.h
+++ b/packages/state/include/sequoiapath/state/caller_api.h
@@ -16,6 +16,7 @@
 #include "sequoiapath/coordination/catalog.h"
 #include "sequoiapath/coordination/session_table.h"
 #include "sequoiapath/state/job_runner.h"
+#include "sequoiapath/state/observation.h"
 #include "sequoiapath/state/settings.h"
 #include "sequoiapath/transport/http_server.h"
 
@@ -31,6 +32,10 @@
   // Takes over a new configuration for later submissions.
   void SetCatalog(std::shared_ptr<const Catalog> catalog);
 
+  // Sets where answered jobs are recorded; null: nowhere. Precondition:
+  // `observer` outlives the object.
+  void SetObserver(Observer* observer) { this->observer = observer; }
+
   // Refuses new jobs from now on; running ones are answered.
   void BeginStop() { this->stopping = true; }
 
@@ -60,6 +65,8 @@
   void JoinJob(const SubmissionKey& key, const HttpResponder& responder);
   void StartNewJob(const SubmissionKey& key, const std::string& team,
                    const HttpRequest& request, const HttpResponder& responder);
+  void Observe(const SubmissionKey& key, AnsweredJob job, TimePoint submitted,
+               const JobAnswer& answer);
   void Cancel(const SubmissionKey& key, const HttpResponder& responder);
   void Finish(const SubmissionKey& key, const JobAnswer& answer);
   void HandleJobPath(std::string_view path, const HttpRequest& request,
@@ -77,6 +84,7 @@
   const Settings* settings;
   Incarnation incarnation;
   JobRunner* runner;
+  Observer* observer = nullptr;
   std::shared_ptr<const Catalog> catalog;
   SessionTable sessions;
   // Requests that wait for the answer of a running submission.
--- a/packages/state/include/sequoiapath/state/config_store.h
+++ b/packages/state/include/sequoiapath/state/config_store.h
@@ -56,6 +56,9 @@
   // The new generation is at least this. Needed after the store was restored
   // from an old copy, because daemons accept only a greater generation.
   std::uint64_t min_generation = 0;
+  // Drawn if empty. A change whose id is among the latest audit records as
+  // applied is not applied again.
+  std::string change_id{};
 };
 
 struct ChangeReport {
--- a/packages/state/include/sequoiapath/state/config_watch.h
+++ b/packages/state/include/sequoiapath/state/config_watch.h
@@ -41,7 +41,7 @@
   void Read();
   void OnRead(const Result<RangeReply>& result);
   void StartWatch(std::int64_t revision);
-  void OnValue(const std::string& value);
+  void OnValue(const std::string& value, bool is_event);
   void RaiseAlarm(const ConfigRecord& record);
 
   EventLoop* loop;
@@ -51,6 +51,10 @@
   TimerId read_timer = 0;
   std::uint64_t generation = 0;
   std::string digest;
+  // Of the newest record that this watch got from the store.
+  std::uint64_t shown_generation = 0;
+  // Whether the store last showed an older or another record.
+  bool alarmed = false;
   std::uint64_t alarms = 0;
   // Expires with this object; a read's reply may arrive later.
   std::shared_ptr<ConfigWatch*> self;
--- a/packages/state/include/sequoiapath/state/job_runner.h
+++ b/packages/state/include/sequoiapath/state/job_runner.h
@@ -22,6 +22,7 @@
 #include "sequoiapath/coordination/task_queue.h"
 #include "sequoiapath/coordination/worker_health.h"
 #include "sequoiapath/protocol/job.h"
+#include "sequoiapath/state/observation.h"
 #include "sequoiapath/state/worker_pool.h"
 #include "sequoiapath/transport/event_loop.h"
 
@@ -35,6 +36,8 @@
   ServiceSpec service;
   JobRequest request;
   TimePoint deadline;
+  // Gets the run times and messages of the job's tasks, if not null.
+  std::shared_ptr<JobObservation> observed{};
 };
 
 using JobCallback = std::function<void(JobAnswer answer)>;
@@ -62,6 +65,10 @@
     this->admission_limits = limits;
   }
 
+  // Sets where tasks and messages to workers are counted; null: nowhere.
+  // Precondition: `metrics` outlives the runner.
+  void SetMetrics(Metrics* metrics) { this->metrics = metrics; }
+
   // Returns why a job would not end by its deadline or exceeds a bound; nothing
   // if it may be started.
   std::optional<Failure> CheckAdmission(const JobSpec& spec);
@@ -89,6 +96,7 @@
     HeldUnits held;
     std::string task_id;
     TimePoint sent;
+    Duration waited{};
     TimePoint lease_end;
     std::string service;
     bool trial = false;  // Of an ejected worker.
@@ -103,6 +111,9 @@
                       const internal::RunningJob* job);
   TaskEnd JudgeEnd(const SentTask& sent, const TaskOutcome& outcome,
                    const internal::RunningJob* job) const;
+  void CountMessage(internal::RunningJob* job);
+  void ObserveOutcome(const SentTask& sent, const TaskOutcome& outcome,
+                      internal::RunningJob* job);
   void ReleaseUnitsOf(const SentTask& sent, const TaskOutcome& outcome);
   void Retry(internal::RunningJob* job, std::uint32_t index, Duration delay);
   void PumpRetries();
@@ -123,6 +134,7 @@
 
   EventLoop* loop;
   std::string task_id_prefix;
+  Metrics* metrics = nullptr;
   std::shared_ptr<const Catalog> catalog;
   ShareLedger ledger;
   TaskQueue queue;
--- a/packages/state/include/sequoiapath/state/membership.h
+++ b/packages/state/include/sequoiapath/state/membership.h
@@ -25,6 +25,8 @@
       receive;
   // Reads the reply to a heartbeat.
   std::function<void(const HeartbeatReply& reply)> receive_reply;
+  // Adds the part's fields to this daemon's own join.
+  std::function<void(Join* join)> fill_join;
   // Adds the part's fields to the reply for a joining daemon.
   std::function<void(const Join& join, JoinReply* reply)> fill_join_reply;
   // Reads the reply to this daemon's own join.
--- a/packages/state/include/sequoiapath/state/metrics.h
+++ b/packages/state/include/sequoiapath/state/metrics.h
@@ -80,6 +80,7 @@
   std::size_t waiting_tasks = 0;
   std::uint64_t generation = 0;
   std::uint64_t late_log_entries = 0;
+  std::uint64_t config_alarms = 0;
 };
 
 // All metrics of a process; its size is bounded whatever the labels are.
--- a/packages/state/include/sequoiapath/state/operator_backend.h
+++ b/packages/state/include/sequoiapath/state/operator_backend.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "sequoiapath/coordination/catalog.h"
+#include "sequoiapath/coordination/config_change.h"
 #include "sequoiapath/protocol/document.h"
 #include "sequoiapath/protocol/session_id.h"
 #include "sequoiapath/protocol/verdict.h"
@@ -52,26 +53,7 @@
   std::string remote_address;
 };
 
-// One field that a change sets. An empty `field` stands for the whole entry.
-struct FieldChange {
-  std::string section;  // Such as "teams".
-  std::string name;
-  std::string field;
-  std::string before;
-  std::string after;
-};
-
-using Difference = std::vector<FieldChange>;
-
-// A field that two operators changed.
-struct FieldConflict {
-  std::string section;
-  std::string name;
-  std::string field;
-  std::string base;
-  std::string theirs;
-  std::string yours;
-};
+using Difference = FieldChanges;
 
 // Outcomes of a submitted change.
 struct ChangeApplied {
@@ -79,7 +61,7 @@
 };
 struct ChangeConflict {
   std::uint64_t generation = 0;  // In force now.
-  std::vector<FieldConflict> fields;
+  FieldConflicts fields;
 };
 struct ChangeNotApplied {
   std::string detail;  // Such as "the store is unavailable".
--- a/packages/state/include/sequoiapath/state/peer_service.h
+++ b/packages/state/include/sequoiapath/state/peer_service.h
@@ -5,10 +5,13 @@
 #define SEQUOIAPATH_STATE_PEER_SERVICE_H_
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -34,6 +37,14 @@
 using PeerHandler = std::function<void(
     Request request, PeerReplier<typename Request::Reply> reply)>;
 
+// Counts of the exchange with other daemons. Control bytes are the bodies of
+// all messages but those that carry callers' data.
+struct PeerTraffic {
+  std::uint64_t messages_sent = 0;
+  std::uint64_t control_bytes_sent = 0;
+  std::uint64_t control_bytes_received = 0;
+};
+
 // Exchanges messages with other daemons. A request without the cluster's token
 // is refused before its body is decoded. Thread safety: loop thread only.
 class PeerService {
@@ -62,6 +73,8 @@
   // Returns the number of requests of peers that were not answered yet.
   std::size_t PendingRequests() const;
 
+  const PeerTraffic& Traffic() const { return this->traffic; }
+
  private:
   friend class PeerServiceBuilder;
   using BodyHandler = std::function<void(std::string_view body,
@@ -74,6 +87,10 @@
             Duration timeout,
             std::function<void(Result<std::string>)> callback);
 
+  template <typename Request>
+  void CountControlBytes(std::size_t sent, std::size_t received);
+
+  PeerTraffic traffic;
   std::string authorization;
   std::unordered_map<std::string, BodyHandler> handlers;  // By path.
   std::unique_ptr<PeerClient> client;
@@ -114,25 +131,38 @@
 
 }  // namespace internal
 
+template <typename Request>
+void PeerService::CountControlBytes(std::size_t sent, std::size_t received) {
+  if constexpr (!std::is_same_v<Request, Forward> &&
+                !std::is_same_v<Request, Delegate> &&
+                !std::is_same_v<Request, Handover>) {
+    this->traffic.control_bytes_sent += sent;
+    this->traffic.control_bytes_received += received;
+  }
+}
+
 template <typename Request>
 void PeerService::Handle(PeerHandler<Request> handler) {
   using Reply = typename Request::Reply;
   this->handlers[std::string(kPeerPathPrefix) + std::string(Request::kName)] =
-      [handler = std::move(handler)](std::string_view body,
-                                     const HttpResponder& responder) {
+      [this, handler = std::move(handler)](std::string_view body,
+                                           const HttpResponder& responder) {
+        this->CountControlBytes<Request>(0, body.size());
         Result<Request> request = DecodePeerMessage<Request>(body);
         if (const Failure* failure = GetFailure(request)) {
           internal::RefusePeer(responder, *failure);
           return;
         }
         handler(std::get<Request>(std::move(request)),
-                [responder](const Result<Reply>& result) {
+                [this, responder](const Result<Reply>& result) {
                   if (const Failure* failure = GetFailure(result)) {
                     internal::RefusePeer(responder, *failure);
-                  } else {
-                    internal::RespondToPeer(
-                        responder, EncodePeerMessage(std::get<Reply>(result)));
+                    return;
                   }
+                  std::string bytes =
+                      EncodePeerMessage(std::get<Reply>(result));
+                  this->CountControlBytes<Request>(bytes.size(), 0);
+                  internal::RespondToPeer(responder, std::move(bytes));
                 });
       };
 }
@@ -142,12 +172,17 @@
     const Endpoint& endpoint, const Request& request, Duration timeout,
     std::function<void(Result<typename Request::Reply>)> callback) {
   using Reply = typename Request::Reply;
-  this->Post(endpoint, Request::kName, EncodePeerMessage(request), timeout,
-             [callback = std::move(callback)](Result<std::string> body) {
+  std::string bytes = EncodePeerMessage(request);
+  ++this->traffic.messages_sent;
+  this->CountControlBytes<Request>(bytes.size(), 0);
+  this->Post(endpoint, Request::kName, std::move(bytes), timeout,
+             [this, callback = std::move(callback)](Result<std::string> body) {
                if (const Failure* failure = GetFailure(body)) {
                  callback(*failure);
                  return;
                }
+               this->CountControlBytes<Request>(
+                   0, std::get<std::string>(body).size());
                Result<Reply> reply =
                    DecodePeerMessage<Reply>(std::get<std::string>(body));
                if (const Failure* failure = GetFailure(reply)) {
--- a/packages/state/src/caller_api.cc
+++ b/packages/state/src/caller_api.cc
@@ -394,13 +394,42 @@
   this->waiters[key].push_back(responder);
   JobSpec spec;
   spec.request_id = this->NewRequestId();
-  if (auto failure = this->PrepareJob(team, request.body, &spec)) {
-    this->Finish(key, {spec.request_id, *std::move(failure)});
+  const TimePoint submitted = this->loop->Now();
+  auto refused = this->PrepareJob(team, request.body, &spec);
+  AnsweredJob job;
+  job.team = team;
+  job.service = spec.service.name;
+  job.tasks = spec.request.payloads.size();
+  if (refused) {
+    const JobAnswer answer{spec.request_id, *std::move(refused)};
+    this->Observe(key, std::move(job), submitted, answer);
+    this->Finish(key, answer);
     return;
   }
+  job.deadline = spec.deadline - submitted;
+  const auto observed = std::make_shared<JobObservation>();
+  spec.observed = observed;
   this->running[key] = this->runner->Start(
-      std::move(spec),
-      [this, key](const JobAnswer& answer) { this->Finish(key, answer); });
+      std::move(spec), [this, key, job = std::move(job), submitted,
+                        observed](const JobAnswer& answer) {
+        AnsweredJob answered = job;
+        answered.observed = *observed;
+        this->Observe(key, std::move(answered), submitted, answer);
+        this->Finish(key, answer);
+      });
+}
+
+void CallerApi::Observe(const SubmissionKey& key, AnsweredJob job,
+                        TimePoint submitted, const JobAnswer& answer) {
+  if (this->observer == nullptr) return;
+  const TimePoint now = this->loop->Now();
+  job.response_time = now - submitted;
+  // A refused job may have no deadline; its refusal is not late.
+  if (job.deadline == Duration::zero()) job.deadline = job.response_time;
+  job.callers_told =
+      static_cast<std::uint32_t>(this->waiters.find(key)->second.size());
+  ObserveAnswer(this->observer, job, answer, now,
+                std::chrono::system_clock::now());
 }
 
 void CallerApi::Cancel(const SubmissionKey& key,
--- /dev/null
+++ b/packages/state/src/config_console.h
@@ -0,0 +1,18 @@
+// Defines the functions through which the console plans and submits changes of
+// the configuration and reads their history.
+
+#ifndef SEQUOIAPATH_STATE_CONFIG_CONSOLE_H_
+#define SEQUOIAPATH_STATE_CONFIG_CONSOLE_H_
+
+#include "sequoiapath/state/config_store.h"
+#include "sequoiapath/state/operator_backend.h"
+
+namespace sequoiapath {
+
+// Sets `propose`, `submit` and `history`. Precondition: `store` outlives the
+// backend. Thread safety: loop thread only.
+void ConnectConfigStore(ConfigStore* store, OperatorBackend* backend);
+
+}  // namespace sequoiapath
+
+#endif  // SEQUOIAPATH_STATE_CONFIG_CONSOLE_H_
--- /dev/null
+++ b/packages/state/src/config_keeper.cc
@@ -0,0 +1,307 @@
+#include "sequoiapath/state/config_keeper.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "sequoiapath/state/config_store.h"
+#include "sequoiapath/state/log.h"
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+// Lets the reply to a join arrive first, so that a starting fleet asks its
+// peers rather than the store.
+constexpr auto kJoinWait = std::chrono::milliseconds(300);
+// By then the live members of the data centre are known, and only the watchers
+// among them open a watch.
+constexpr auto kWatchDelay = std::chrono::milliseconds(1500);
+constexpr auto kFirstAskDelay = std::chrono::milliseconds(500);
+// Below the 15 s within which a change must be in force.
+constexpr auto kMaxAskDelay = std::chrono::seconds(8);
+// The store takes values of 1 MiB; a larger document cannot come from it.
+constexpr std::size_t kMaxDocumentBytes = 16u << 20;
+
+Failure Unusable(std::string detail) {
+  return {Verdict::kNotRun, Reason::kInvalidRequest, RetryAdvice::kSameSequence,
+          std::nullopt, std::move(detail)};
+}
+
+ConfigPullReply ToMessage(const ConfigRecord& current, const PullReply& reply) {
+  ConfigPullReply message{
+      current.generation, current.change_id, current.digest, {}, {}};
+  if (const auto* chain = std::get_if<PatchChain>(&reply)) {
+    message.form = ConfigForm::kPatches;
+    for (const ConfigPatch& patch : chain->patches) {
+      message.parts.push_back(EncodeConfigPatch(patch));
+    }
+  } else if (const auto* whole = std::get_if<WholeDocument>(&reply)) {
+    message.form = ConfigForm::kDocument;
+    message.parts.push_back(CompressDocument(whole->record.document));
+  }
+  return message;
+}
+
+Result<PullReply> ReadPatches(const ConfigPullReply& message) {
+  PatchChain chain;
+  for (const std::string& part : message.parts) {
+    auto patch = DecodeConfigPatch(part);
+    if (const Failure* failure = GetFailure(patch)) return *failure;
+    chain.patches.push_back(std::get<ConfigPatch>(std::move(patch)));
+  }
+  return PullReply(std::move(chain));
+}
+
+Result<PullReply> ReadDocument(const ConfigPullReply& message) {
+  if (message.parts.size() != 1) return Unusable("not one document");
+  auto document = DecompressDocument(message.parts.front(), kMaxDocumentBytes);
+  if (const Failure* failure = GetFailure(document)) return *failure;
+  auto& text = std::get<std::string>(document);
+  if (Sha256Hex(text) != message.digest) {
+    return Unusable("the document has another digest");
+  }
+  return PullReply(WholeDocument{{message.generation, message.change_id,
+                                  message.digest, std::move(text)}});
+}
+
+Result<PullReply> FromMessage(const ConfigPullReply& message) {
+  if (message.form == ConfigForm::kPatches) return ReadPatches(message);
+  if (message.form == ConfigForm::kDocument) return ReadDocument(message);
+  return PullReply(UpToDate{});
+}
+
+// A suspect member still counts, so that a short silence moves no watch.
+std::vector<std::string> PresentPeers(const MemberView& view) {
+  std::vector<std::string> present;
+  for (const auto& [vm, member] : view.members) {
+    const bool answers = member.state == MemberState::kLive ||
+                         member.state == MemberState::kSuspect;
+    if (answers && member.identity.data_centre == view.self.data_centre) {
+      present.push_back(vm);
+    }
+  }
+  return present;
+}
+
+}  // namespace
+}  // namespace internal
+
+ConfigKeeper::ConfigKeeper(EventLoop* loop, PeerService* peers,
+                           Membership* membership, StoreClient* store,
+                           OnConfig on_config)
+    : loop(loop),
+      peers(peers),
+      membership(membership),
+      store(store),
+      on_config(std::move(on_config)),
+      ask_delay(internal::kFirstAskDelay),
+      random(std::random_device{}()),
+      self(std::make_shared<ConfigKeeper*>(this)) {
+  peers->Handle<ConfigPull>([this](const ConfigPull& pull,
+                                   const PeerReplier<ConfigPullReply>& reply) {
+    reply(this->AnswerFor(pull.generation));
+  });
+  membership->AddListener(this->MakeListener());
+}
+
+MembershipListener ConfigKeeper::MakeListener() {
+  const auto digest = [this] {
+    return this->spread.current ? this->spread.current->digest : std::string();
+  };
+  MembershipListener listener;
+  listener.fill = [this, digest](const MemberIdentity& /*to*/,
+                                 Heartbeat* heartbeat) {
+    heartbeat->config_generation = this->Generation();
+    heartbeat->config_digest = digest();
+  };
+  listener.receive = [this, digest](const Heartbeat& heartbeat,
+                                    HeartbeatReply* reply) {
+    reply->config_generation = this->Generation();
+    reply->config_digest = digest();
+    this->NoteAnnouncement(heartbeat.sender.vm, heartbeat.config_generation,
+                           heartbeat.config_digest);
+  };
+  listener.receive_reply = [this](const HeartbeatReply& reply) {
+    this->NoteAnnouncement(reply.sender.vm, reply.config_generation,
+                           reply.config_digest);
+  };
+  listener.fill_join = [this](Join* join) {
+    join->config_generation = this->Generation();
+  };
+  listener.fill_join_reply = [this](const Join& join, JoinReply* reply) {
+    reply->config = this->AnswerFor(join.config_generation);
+  };
+  listener.receive_join_reply = [this](const JoinReply& reply) {
+    this->ReceiveReply(reply.config);
+  };
+  listener.on_change = [this](const MemberStateChange& change) {
+    if (change.after == MemberState::kDown) {
+      ForgetPeer(&this->spread, change.member.vm);
+    }
+    this->UpdateWatch();
+  };
+  return listener;
+}
+
+void ConfigKeeper::Start() {
+  const bool alone = this->membership->view().seeds.empty();
+  this->loop->Schedule(alone ? Duration::zero() : Duration(internal::kJoinWait),
+                       [this] { this->AskStore(); });
+  this->loop->Schedule(internal::kWatchDelay, [this] {
+    this->watch_allowed = true;
+    this->UpdateWatch();
+  });
+}
+
+std::uint64_t ConfigKeeper::Generation() const {
+  return this->spread.current ? this->spread.current->generation : 0;
+}
+
+std::uint64_t ConfigKeeper::PeerGeneration(const std::string& vm) const {
+  const auto it = this->spread.peer_generations.find(vm);
+  return it == this->spread.peer_generations.end() ? 0 : it->second;
+}
+
+std::uint64_t ConfigKeeper::Alarms() const {
+  return this->earlier_alarms +
+         (this->watch == nullptr ? 0 : this->watch->Alarms());
+}
+
+// A watcher's own watch reads the store, so it is not asked here.
+void ConfigKeeper::AskStore() {
+  if (this->spread.current) return;
+  if (this->watch == nullptr) {
+    this->store->GetKey(kConfigKey, [this](const Result<RangeReply>& result) {
+      const auto* reply = std::get_if<RangeReply>(&result);
+      if (reply == nullptr || reply->entries.empty()) return;
+      auto record = DecodeConfigRecord(reply->entries.front().value);
+      if (auto* read = std::get_if<ConfigRecord>(&record)) {
+        this->Adopt(std::move(*read), UpToDate{});
+      }
+    });
+  }
+  this->loop->Schedule(this->ask_delay, [this] { this->AskStore(); });
+  this->ask_delay =
+      std::min<Duration>(this->ask_delay * 2, internal::kMaxAskDelay);
+}
+
+void ConfigKeeper::UpdateWatch() {
+  if (!this->watch_allowed) return;
+  const MemberView& view = this->membership->view();
+  const bool watcher = IsWatcher(this->spread.limits, view.self.vm,
+                                 internal::PresentPeers(view));
+  if (watcher && this->watch == nullptr) this->StartWatch();
+  if (!watcher && this->watch != nullptr) this->StopWatch();
+}
+
+void ConfigKeeper::StartWatch() {
+  Log(LogLevel::kInfo, "config_watch_started");
+  this->watch = std::make_unique<ConfigWatch>(
+      this->loop, this->store,
+      [this](const ConfigRecord& record) { this->Adopt(record, UpToDate{}); });
+  if (this->spread.current) this->watch->NoteInForce(*this->spread.current);
+}
+
+void ConfigKeeper::StopWatch() {
+  Log(LogLevel::kInfo, "config_watch_stopped");
+  this->earlier_alarms += this->watch->Alarms();
+  this->watch.reset();
+}
+
+void ConfigKeeper::NoteAnnouncement(const std::string& vm,
+                                    std::uint64_t generation,
+                                    const std::string& digest) {
+  if (generation > 0 && generation == this->Generation() &&
+      digest != this->spread.current->digest &&
+      digest != this->contradicting_digest) {
+    this->contradicting_digest = digest;
+    ++this->earlier_alarms;
+    Log(LogLevel::kError, "peer_has_other_configuration",
+        {{"vm", vm}, {"generation", generation}, {"digest", digest}});
+  }
+  if (!digest.empty() && digest == this->rejected_digest) return;
+  NotePeerGeneration(&this->spread, vm, generation);
+  this->PullIfBehind();
+}
+
+void ConfigKeeper::PullIfBehind() {
+  const auto vm = NextPull(&this->spread, this->random(), this->loop->Now());
+  if (!vm) return;
+  const Member* member = this->membership->FindMember(*vm);
+  if (member == nullptr) {
+    FinishPull(&this->spread, /*succeeded=*/false);
+    return;
+  }
+  ConfigPull pull;
+  if (!this->needs_whole && this->spread.current) {
+    pull = {this->Generation(), this->spread.current->digest};
+  }
+  const std::uint64_t number = ++this->pull_number;
+  this->peers->Send<ConfigPull>(
+      member->identity.peer_endpoint, pull, this->spread.limits.pull_timeout,
+      [weak = std::weak_ptr<ConfigKeeper*>(this->self), number,
+       vm = *vm](const Result<ConfigPullReply>& result) {
+        const auto alive = weak.lock();
+        if (alive && number == (*alive)->pull_number) {
+          (*alive)->OnPulled(vm, result);
+        }
+      });
+}
+
+void ConfigKeeper::OnPulled(const std::string& vm,
+                            const Result<ConfigPullReply>& result) {
+  const auto* reply = std::get_if<ConfigPullReply>(&result);
+  const std::uint64_t before = this->Generation();
+  const bool readable = reply != nullptr && this->ReceiveReply(*reply);
+  const bool was_whole = this->needs_whole;
+  this->needs_whole =
+      !readable && reply != nullptr && reply->form == ConfigForm::kPatches;
+  // A peer whose reply brings nothing newer is not asked again before its next
+  // announcement; otherwise pulls would follow each other without a pause.
+  FinishPull(&this->spread, this->Generation() > before);
+  if (this->needs_whole && !was_whole) {
+    NotePeerGeneration(&this->spread, vm, reply->generation);
+  }
+  this->PullIfBehind();
+}
+
+bool ConfigKeeper::ReceiveReply(const ConfigPullReply& message) {
+  const auto refuse = [](const Failure& failure) {
+    Log(LogLevel::kWarning, "config_reply_unusable",
+        {{"detail", failure.detail}});
+    return false;
+  };
+  auto decoded = internal::FromMessage(message);
+  if (const Failure* failure = GetFailure(decoded)) return refuse(*failure);
+  auto& reply = std::get<PullReply>(decoded);
+  auto resolved = ResolvePullReply(this->spread, reply);
+  if (const Failure* failure = GetFailure(resolved)) return refuse(*failure);
+  auto& record = std::get<std::optional<ConfigRecord>>(resolved);
+  if (record) this->Adopt(*std::move(record), std::move(reply));
+  return true;
+}
+
+void ConfigKeeper::Adopt(ConfigRecord record, PullReply reply) {
+  if (record.generation <= this->Generation()) return;
+  DocumentResult parsed = ParseDocumentJson(record.document);
+  auto* document = std::get_if<Document>(&parsed);
+  if (document == nullptr) {
+    this->rejected_digest = record.digest;
+    Log(LogLevel::kError, "config_invalid",
+        {{"generation", record.generation}, {"change_id", record.change_id}});
+    return;
+  }
+  AdoptResolved(&this->spread, std::move(record), std::move(reply));
+  const ConfigRecord& current = *this->spread.current;
+  if (this->watch != nullptr) this->watch->NoteInForce(current);
+  this->on_config(MakeCatalog(current, std::move(*document)));
+}
+
+ConfigPullReply ConfigKeeper::AnswerFor(std::uint64_t generation) const {
+  if (!this->spread.current) return {};
+  return internal::ToMessage(*this->spread.current,
+                             AnswerPull(this->spread, generation));
+}
+
+}  // namespace sequoiapath
--- a/packages/state/src/config_store.cc
+++ b/packages/state/src/config_store.cc
@@ -85,6 +85,17 @@
   });
 }
 
+// Returns the generation that a change created; zero if the segment lacks it.
+std::uint64_t FindApplied(std::string_view segment,
+                          const std::string& change_id) {
+  for (const AuditRecord& record : DecodeAuditSegment(segment)) {
+    if (record.change_id == change_id && record.outcome == "applied") {
+      return record.generation;
+    }
+  }
+  return 0;
+}
+
 Result<ConfigSnapshot> ToSnapshot(const Result<RangeReply>& result) {
   if (const Failure* failure = GetFailure(result)) return *failure;
   const auto& reply = std::get<RangeReply>(result);
@@ -382,7 +393,21 @@
       });
 }
 
+// Ends an attempt whose change an earlier request with its id has applied.
+bool FinishRepeated(const AttemptPtr& attempt) {
+  if (attempt->request.change_id.empty()) return false;
+  const std::uint64_t generation =
+      FindApplied(attempt->audit.text, attempt->change_id);
+  if (generation == 0) return false;
+  ChangeReport report = NewReport(*attempt, "applied by an earlier request");
+  report.outcome = ChangeOutcome::kApplied;
+  report.generation = generation;
+  Finish(attempt, report);
+  return true;
+}
+
 void Decide(const AttemptPtr& attempt) {
+  if (!attempt->pending && FinishRepeated(attempt)) return;
   if (attempt->pending) {
     ResolvePending(attempt);
   } else if (attempt->loop->Now() >= attempt->give_up) {
@@ -453,9 +478,10 @@
   attempt->store = this->store;
   attempt->config_store = this;
   attempt->give_up = this->loop->Now() + this->time_limit;
+  attempt->change_id =
+      request.change_id.empty() ? internal::DrawChangeId() : request.change_id;
   attempt->request = std::move(request);
   attempt->callback = std::move(callback);
-  attempt->change_id = internal::DrawChangeId();
   internal::ReadState(attempt);
 }
 
--- a/packages/state/src/config_watch.cc
+++ b/packages/state/src/config_watch.cc
@@ -49,7 +49,7 @@
   }
   const auto& reply = std::get<RangeReply>(result);
   if (!reply.entries.empty()) {
-    this->OnValue(reply.entries.front().value);
+    this->OnValue(reply.entries.front().value, /*is_event=*/false);
   } else if (this->generation > 0) {
     this->RaiseAlarm({});
   }
@@ -65,7 +65,7 @@
     if (event.deleted) {
       this->RaiseAlarm({});
     } else {
-      this->OnValue(event.entry.value);
+      this->OnValue(event.entry.value, /*is_event=*/true);
     }
   };
   handlers.on_reset = [this](const std::string& reason) {
@@ -75,24 +75,34 @@
   this->watch = this->store->Watch(std::move(options), std::move(handlers));
 }
 
-void ConfigWatch::OnValue(const std::string& value) {
+// A peer may pass on a record before this watch delivers it and those before
+// it, so an event that is newer than the last one is no reason for an alarm.
+void ConfigWatch::OnValue(const std::string& value, bool is_event) {
   const auto decoded = DecodeConfigRecord(value);
   if (const Failure* failure = GetFailure(decoded)) {
     Log(LogLevel::kError, "config_invalid", {{"detail", failure->detail}});
     return;
   }
   const auto& record = std::get<ConfigRecord>(decoded);
+  const bool delayed = is_event && !this->alarmed &&
+                       record.generation > this->shown_generation &&
+                       record.generation < this->generation;
+  this->shown_generation = record.generation;
   if (record.generation > this->generation) {
+    this->alarmed = false;
     this->NoteInForce(record);
     this->on_record(record);
-  } else if (record.generation < this->generation ||
-             record.digest != this->digest) {
+  } else if (record.generation == this->generation &&
+             record.digest == this->digest) {
+    this->alarmed = false;
+  } else if (!delayed) {
     this->RaiseAlarm(record);
   }
 }
 
 void ConfigWatch::RaiseAlarm(const ConfigRecord& record) {
   ++this->alarms;
+  this->alarmed = true;
   Log(LogLevel::kError, "store_shows_older_configuration",
       {{"generation_in_force", this->generation},
        {"generation_in_store", record.generation},
--- a/packages/state/src/console_pages.cc
+++ b/packages/state/src/console_pages.cc
@@ -114,8 +114,9 @@
   table.empty_text = "The change makes no difference.";
   for (const FieldChange& change : difference) {
     table.rows.push_back({EscapeHtml(change.section + "/" + change.name),
-                          EscapeHtml(change.field), EscapeHtml(change.before),
-                          EscapeHtml(change.after)});
+                          EscapeHtml(change.field),
+                          EscapeHtml(change.old_value),
+                          EscapeHtml(change.new_value)});
   }
   return RenderTable(table);
 }
@@ -149,7 +150,7 @@
   for (const FieldConflict& field : conflict.fields) {
     table.rows.push_back({EscapeHtml(field.section + "/" + field.name),
                           EscapeHtml(field.field), EscapeHtml(field.base),
-                          EscapeHtml(field.theirs), EscapeHtml(field.yours)});
+                          EscapeHtml(field.theirs), EscapeHtml(field.ours)});
   }
   return fmt::format(
              "<p class=\"notice\" role=\"alert\">Another operator changed the "
--- a/packages/state/src/daemon.cc
+++ b/packages/state/src/daemon.cc
@@ -6,13 +6,17 @@
 #include <random>
 #include <utility>
 
+#include "config_console.h"
 #include "sequoiapath/coordination/catalog.h"
 #include "sequoiapath/state/caller_api.h"
-#include "sequoiapath/state/config_watch.h"
+#include "sequoiapath/state/config_keeper.h"
+#include "sequoiapath/state/config_store.h"
 #include "sequoiapath/state/job_runner.h"
 #include "sequoiapath/state/log.h"
+#include "sequoiapath/state/membership.h"
 #include "sequoiapath/state/observation.h"
 #include "sequoiapath/state/operator_api.h"
+#include "sequoiapath/state/peer_service.h"
 #include "sequoiapath/state/store_client.h"
 #include "sequoiapath/transport/http_server.h"
 
@@ -20,6 +24,7 @@
 namespace internal {
 
 constexpr auto kStoreTimeout = std::chrono::seconds(2);
+constexpr auto kChangeTimeLimit = std::chrono::seconds(5);
 constexpr auto kLogReportInterval = std::chrono::seconds(1);
 constexpr auto kStopPollInterval = std::chrono::milliseconds(20);
 
@@ -36,17 +41,24 @@
         incarnation(DrawIncarnation()),
         runner(loop, fmt::format("{}-{:x}", this->settings.vm, incarnation)),
         caller_api(loop, &this->settings, incarnation, &runner),
-        store(loop, this->settings.stores, kStoreTimeout) {}
+        store(loop, this->settings.stores, kStoreTimeout),
+        config_store(loop, &store, kChangeTimeLimit) {
+    runner.SetMetrics(&observer.metrics);
+    caller_api.SetObserver(&observer);
+  }
 
   EventLoop* loop;
   Settings settings;
   Incarnation incarnation;
+  Observer observer;
   JobRunner runner;
   CallerApi caller_api;
   StoreClient store;
-  std::unique_ptr<ConfigWatch> config_watch;
+  ConfigStore config_store;
+  std::unique_ptr<PeerService> peers;
+  std::unique_ptr<Membership> membership;
+  std::unique_ptr<ConfigKeeper> config_keeper;
   std::unique_ptr<HttpServer> caller_server;
-  Observer observer;
   std::shared_ptr<const Catalog> catalog;
   std::unique_ptr<OperatorApi> operator_api;
   std::unique_ptr<HttpServer> operator_server;
@@ -56,22 +68,41 @@
 
 namespace {
 
-void AdoptConfig(DaemonState* daemon, const ConfigRecord& record) {
-  if (record.generation <= daemon->generation) return;
-  DocumentResult parsed = ParseDocumentJson(record.document);
-  auto* document = std::get_if<Document>(&parsed);
-  if (document == nullptr) {
-    Log(LogLevel::kError, "config_invalid",
-        {{"generation", record.generation}});
-    return;
-  }
-  daemon->generation = record.generation;
-  const auto catalog = MakeCatalog(record, std::move(*document));
+void UseConfig(DaemonState* daemon, std::shared_ptr<const Catalog> catalog) {
+  daemon->generation = catalog->generation;
   daemon->runner.SetCatalog(catalog);
   daemon->caller_api.SetCatalog(catalog);
-  daemon->catalog = catalog;
   Log(LogLevel::kInfo, "config_in_force",
-      {{"generation", record.generation}, {"change_id", record.change_id}});
+      {{"generation", catalog->generation}, {"digest", catalog->digest}});
+  daemon->catalog = std::move(catalog);
+}
+
+// Listens for other daemons; returns an error message if the socket cannot be
+// bound. The membership is started once all parts have added their listeners.
+std::optional<std::string> StartPeers(DaemonState* daemon) {
+  const Settings& settings = daemon->settings;
+  auto peers = PeerServiceBuilder(daemon->loop)
+                   .Listen(settings.peer_listen)
+                   .ClusterKey(settings.cluster_key)
+                   .Build();
+  if (const auto* error = std::get_if<ListenError>(&peers)) {
+    return error->message;
+  }
+  daemon->peers = std::get<std::unique_ptr<PeerService>>(std::move(peers));
+  daemon->membership = std::make_unique<Membership>(
+      daemon->loop, daemon->peers.get(),
+      MemberIdentity{settings.data_centre, settings.vm,
+                     daemon->peers->endpoint(), daemon->incarnation},
+      settings.seeds);
+  return std::nullopt;
+}
+
+void KeepConfig(DaemonState* daemon) {
+  daemon->config_keeper = std::make_unique<ConfigKeeper>(
+      daemon->loop, daemon->peers.get(), daemon->membership.get(),
+      &daemon->store, [daemon](std::shared_ptr<const Catalog> catalog) {
+        UseConfig(daemon, std::move(catalog));
+      });
 }
 
 DaemonStatus StatusOf(const DaemonState& daemon) {
@@ -85,17 +116,41 @@
           daemon.stopping};
 }
 
+std::vector<MemberStatus> MembersOf(const DaemonState& daemon) {
+  using Milliseconds = std::chrono::milliseconds;
+  std::vector<MemberStatus> members;
+  const TimePoint now = daemon.loop->Now();
+  for (const auto& [vm, member] : daemon.membership->view().members) {
+    const bool heard = member.heard_at != TimePoint();
+    members.push_back(
+        {vm, member.identity.data_centre,
+         daemon.config_keeper->PeerGeneration(vm), ToString(member.state),
+         heard ? std::chrono::duration_cast<Milliseconds>(now - member.heard_at)
+               : Milliseconds(0)});
+  }
+  return members;
+}
+
+std::string MetricsOf(DaemonState* daemon) {
+  Metrics* metrics = &daemon->observer.metrics;
+  const PeerTraffic& traffic = daemon->peers->Traffic();
+  metrics->peer_messages = traffic.messages_sent;
+  metrics->control_bytes_sent = traffic.control_bytes_sent;
+  metrics->control_bytes_received = traffic.control_bytes_received;
+  return RenderMetrics(
+      *metrics, {daemon->runner.RunningJobs(), daemon->runner.WaitingTasks(),
+                 daemon->generation, daemon->observer.late_log.entries.size(),
+                 daemon->config_keeper->Alarms()});
+}
+
 OperatorBackend BackendOf(DaemonState* daemon) {
   OperatorBackend backend;
   backend.status = [daemon] { return StatusOf(*daemon); };
   backend.late = [daemon] { return &daemon->observer.late_log; };
   backend.current = [daemon] { return daemon->catalog; };
-  backend.metrics = [daemon] {
-    return RenderMetrics(
-        daemon->observer.metrics,
-        {daemon->runner.RunningJobs(), daemon->runner.WaitingTasks(),
-         daemon->generation, daemon->observer.late_log.entries.size()});
-  };
+  backend.metrics = [daemon] { return MetricsOf(daemon); };
+  backend.members = [daemon] { return MembersOf(*daemon); };
+  ConnectConfigStore(&daemon->config_store, &backend);
   return backend;
 }
 
@@ -154,6 +209,7 @@
   daemon->stopping = true;
   Log(LogLevel::kInfo, "stopping",
       {{"running_jobs", daemon->runner.RunningJobs()}});
+  daemon->membership->BeginLeaving();
   daemon->caller_api.BeginStop();
   internal::PollStop(daemon,
                      daemon->loop->Now() + daemon->settings.stop_timeout);
@@ -179,12 +235,12 @@
   }
   daemon->caller_server =
       std::get<std::unique_ptr<HttpServer>>(std::move(server));
+  if (auto error = internal::StartPeers(daemon)) return *std::move(error);
+  internal::KeepConfig(daemon);
   if (auto error = internal::ServeOperators(daemon)) return *std::move(error);
   internal::ReportLogPeriodically(daemon);
-  daemon->config_watch = std::make_unique<ConfigWatch>(
-      this->loop, &daemon->store, [daemon](const ConfigRecord& record) {
-        internal::AdoptConfig(daemon, record);
-      });
+  daemon->membership->Start();
+  daemon->config_keeper->Start();
   return std::unique_ptr<Daemon>(new Daemon(std::move(state)));
 }
 
--- a/packages/state/src/job_runner.cc
+++ b/packages/state/src/job_runner.cc
@@ -27,6 +27,7 @@
   JobId id = 0;
   JobSpec spec;
   JobCallback callback;
+  TimePoint started_at;
   std::vector<std::string> results;
   std::uint32_t done = 0;
   // Started tasks by state. `started` includes the others.
@@ -122,7 +123,8 @@
   job->callback = std::move(callback);
   job->results.resize(spec.request.payloads.size());
   job->spec = std::move(spec);
-  const Duration remaining = job->spec.deadline - this->loop->Now();
+  job->started_at = this->loop->Now();
+  const Duration remaining = job->spec.deadline - job->started_at;
   job->deadline_timer =
       this->loop->Schedule(remaining, [this, id] { this->OnDeadline(id); });
   EnqueueGroup(
@@ -144,6 +146,7 @@
   if (job == nullptr) return;
   job->cancelled = true;
   for (const auto& [index, task] : job->running_tasks) {
+    this->CountMessage(job);
     this->workers.StopTask(task.second, task.first);
   }
   this->FailJob(job, Reason::kCancelled, "cancelled by the caller");
@@ -231,12 +234,14 @@
       std::move(held),
       fmt::format("{}-{}-{}", this->task_id_prefix, task.job, task.index),
       now,
+      now - job->started_at,
       now + lease,
       job->spec.service.name,
       trial};
   TaskStart start{sent.task_id, job->spec.service.name, lease,
                   job->spec.request.payloads[task.index]};
   this->RemoveWaitingTasks(job, 1);
+  this->CountMessage(job);
   ++this->tasks_in_flight;
   ++job->started;
   ++job->in_flight;
@@ -253,6 +258,7 @@
   --this->tasks_in_flight;
   RunningJob* job = this->FindJob(sent.task.job);
   this->RecordEvidence(sent, outcome, job);
+  this->ObserveOutcome(sent, outcome, job);
   this->ReleaseUnitsOf(sent, outcome);
   if (job != nullptr) {
     --job->in_flight;
@@ -262,6 +268,25 @@
   this->ScheduleDispatch();
 }
 
+void JobRunner::CountMessage(RunningJob* job) {
+  if (this->metrics != nullptr) ++this->metrics->worker_messages;
+  if (job->spec.observed != nullptr) ++job->spec.observed->messages;
+}
+
+void JobRunner::ObserveOutcome(const SentTask& sent, const TaskOutcome& outcome,
+                               RunningJob* job) {
+  if (outcome.kind == TaskOutcome::Kind::kNotStarted) return;
+  const TimePoint now = this->loop->Now();
+  const Duration run_time = now - sent.sent;
+  if (this->metrics != nullptr) {
+    CountTask(this->metrics, sent.waited, run_time, now);
+  }
+  if (job != nullptr && job->spec.observed != nullptr &&
+      outcome.kind == TaskOutcome::Kind::kDone) {
+    ObserveTask(job->spec.observed.get(), run_time);
+  }
+}
+
 void JobRunner::ReleaseUnitsOf(const SentTask& sent,
                                const TaskOutcome& outcome) {
   if (outcome.kind == TaskOutcome::Kind::kUnknown) {
--- a/packages/state/src/membership.cc
+++ b/packages/state/src/membership.cc
@@ -90,6 +90,9 @@
 void Membership::SendJoin(const Endpoint& endpoint) {
   Join join;
   join.sender = this->self();
+  for (const MembershipListener& listener : this->listeners) {
+    if (listener.fill_join) listener.fill_join(&join);
+  }
   const TimePoint sent = this->loop->Now();
   this->peers->Send<Join>(endpoint, join, internal::kJoinTimeout,
                           [this, sent](const Result<JoinReply>& result) {
--- a/packages/state/src/metrics.cc
+++ b/packages/state/src/metrics.cc
@@ -153,6 +153,9 @@
            "Tasks that wait for a worker.", gauges.waiting_tasks);
   AddValue(text, "sequoiapath_config_generation", "gauge",
            "Generation of the configuration in force.", gauges.generation);
+  AddValue(text, "sequoiapath_config_alarms_total", "counter",
+           "Records that contradicted the configuration in force.",
+           gauges.config_alarms);
   AddValue(text, "sequoiapath_late_log_entries", "gauge",
            "Entries in the log of late and failed requests.",
            gauges.late_log_entries);
--- a/tests/error/config_store_test.cc
+++ b/tests/error/config_store_test.cc
@@ -49,6 +49,24 @@
   this->ExpectTrue(report);
 }
 
+// A form of the console that is submitted twice must not change anything twice.
+TEST_F(ConfigStoreTest, RepeatedChangeIdIsAppliedOnce) {
+  const auto apply = [this](int quota) {
+    std::optional<ChangeReport> report;
+    this->bench.config->Apply(
+        {{"ana", "desk-1"}, this->WithQuota(quota), {}, 0, "00ff"},
+        [&](const ChangeReport& r) { report = r; });
+    EXPECT_TRUE(this->bench.RunUntil([&] { return report.has_value(); }));
+    return report.value_or(ChangeReport{});
+  };
+  EXPECT_EQ(apply(20).generation, 2U);
+  this->bench.Apply(this->WithQuota(30));
+  const ChangeReport repeated = apply(20);
+  EXPECT_EQ(repeated.outcome, ChangeOutcome::kApplied);
+  EXPECT_EQ(repeated.generation, 2U);
+  EXPECT_EQ(this->bench.Stored().generation, 3U);
+}
+
 TEST_F(ConfigStoreTest, LostRequestIsSentAgain) {
   this->bench.Control(R"({"lose_requests": 2})");
   const ChangeReport report = this->bench.Apply(this->WithQuota(20));
--- a/tests/error/config_watch_test.cc
+++ b/tests/error/config_watch_test.cc
@@ -181,5 +181,20 @@
   EXPECT_EQ(this->watch->Alarms(), 0U);
 }
 
+// A peer may pass on a generation before this watch delivers the ones before
+// it; that is no sign of a restored store.
+TEST_F(ConfigWatchTest, EventThatIsBehindAPeerRaisesNoAlarm) {
+  this->ApplyQuota(1);
+  this->Start();
+  ASSERT_TRUE(this->WaitForOpenWatches(1));
+  this->bench.Control(R"({"watch_delay_ms": 300})");
+  this->ApplyQuota(2);
+  this->ApplyQuota(3);
+  this->watch->NoteInForce(this->bench.Stored());
+  this->bench.RunFor(std::chrono::seconds(1));
+  EXPECT_EQ(this->seen, (Generations{1}));
+  EXPECT_EQ(this->watch->Alarms(), 0U);
+}
+
 }  // namespace
 }  // namespace sequoiapath
--- a/tests/support/fake_operator_backend.h
+++ b/tests/support/fake_operator_backend.h
@@ -56,7 +56,7 @@
       const TeamSpec* theirs = FindTeamIn(fake->document, team.name);
       if (base != nullptr && theirs != nullptr && *base == *theirs) continue;
       conflict.fields.push_back({"teams", team.name, "", Describe(base),
-                                 Describe(theirs), Describe(&team)});
+                                 Describe(&team), Describe(theirs)});
     }
     return conflict;
   }
