Give the spread bench the data centres that its workers name

Cause: the validation now refuses a worker whose data centre is not listed, so bench/config_spread_cost ended with bad_variant_access. Change: the document lists its 16 data centres.

--- a/bench/config_spread_cost.cc
+++ b/bench/config_spread_cost.cc
@@ -16,6 +16,10 @@
 
 ConfigRecord MakeRecord(std::uint64_t generation, int workers, int quota) {
   Document document;
+  for (int i = 0; i < 16; ++i) {
+    document.data_centres.push_back(
+        {fmt::format("data-centre-{:02}", i), "region", {}});
+  }
   for (int i = 0; i < workers; ++i) {
     WorkerSpec worker;
     worker.name = fmt::format("worker-{:05}", i);
