Log the change id when a configuration comes into force

Cause: the keeper passes on a catalog, which lacks the change id, so the log line config_in_force had lost it. Change: the keeper writes the line. Checked with ctest -R 'process.config|process.obs|ConfigKeeper': 10 of 10 passed.

--- a/packages/state/src/config_keeper.cc
+++ b/packages/state/src/config_keeper.cc
@@ -295,6 +295,8 @@
   AdoptResolved(&this->spread, std::move(record), std::move(reply));
   const ConfigRecord& current = *this->spread.current;
   if (this->watch != nullptr) this->watch->NoteInForce(current);
+  Log(LogLevel::kInfo, "config_in_force",
+      {{"generation", current.generation}, {"change_id", current.change_id}});
   this->on_config(MakeCatalog(current, std::move(*document)));
 }
 
--- a/packages/state/src/daemon.cc
+++ b/packages/state/src/daemon.cc
@@ -72,8 +72,6 @@
   daemon->generation = catalog->generation;
   daemon->runner.SetCatalog(catalog);
   daemon->caller_api.SetCatalog(catalog);
-  Log(LogLevel::kInfo, "config_in_force",
-      {{"generation", catalog->generation}, {"digest", catalog->digest}});
   daemon->catalog = std::move(catalog);
 }
 
