Route sessions across daemons and hand them over at a planned stop

Cause: a request for a session of another process was refused as owner_lost although its owner was alive, and a planned stop lost all sessions. A second stop signal and the stop bound ended the loop without answering requests that waited.

Change: - SessionRouter forwards a submission or cancel once, to the successor if one is known, else to the owner. The receiver answers or refuses it and never forwards it. The job's deadline at the owner is bounded by the forwarded remaining time. - CallerApi answers through a callback, so that HTTP requests and forwarded ones share one path. Without the watermark a successor would start dropped numbers again. - JobRunner::AbandonJobs and SessionRouter::AbandonRequests answer what waits when a stop is cut short.

The cut between vm-1 and vm-2 is not tested: a daemon announces the endpoint that it listens on, so settings cannot place tcp_relay between two daemons.

--- a/packages/protocol/include/sequoiapath/protocol/peer_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/peer_message.h
@@ -304,6 +304,10 @@
   std::chrono::milliseconds idle{0};
   std::uint64_t greatest_sequence = 0;
   std::vector<HandedOverRecord> records;
+  // Numbers up to this one are never started, even without a record.
+  std::uint64_t watermark = 0;
+  // The process that opened the session; the sender may have taken it over.
+  Incarnation incarnation = 0;
 
   friend bool operator==(const HandedOverSession&,
                          const HandedOverSession&) = default;
@@ -322,6 +326,8 @@
 
   MemberIdentity sender;
   std::vector<HandedOverSession> sessions;
+  // False: more messages of this handover follow.
+  bool last = true;
 
   friend bool operator==(const Handover&, const Handover&) = default;
 };
--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -66,8 +66,8 @@
 SEQUOIAPATH_FIELDS(HandedOverRecord, m.sequence, m.state, m.answer_status,
                    m.answer_body, m.verdict)
 SEQUOIAPATH_FIELDS(HandedOverSession, m.counter, m.team, m.idle,
-                   m.greatest_sequence, m.records)
-SEQUOIAPATH_FIELDS(Handover, m.sender, m.sessions)
+                   m.greatest_sequence, m.records, m.watermark, m.incarnation)
+SEQUOIAPATH_FIELDS(Handover, m.sender, m.sessions, m.last)
 SEQUOIAPATH_FIELDS(HandoverReply, m.successor, m.sessions)
 SEQUOIAPATH_FIELDS(Failure, m.verdict, m.reason, m.retry, m.retry_after,
                    m.detail)
--- a/packages/state/include/sequoiapath/state/caller_api.h
+++ b/packages/state/include/sequoiapath/state/caller_api.h
@@ -5,6 +5,7 @@
 #define SEQUOIAPATH_STATE_CALLER_API_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -15,12 +16,23 @@
 
 #include "sequoiapath/coordination/catalog.h"
 #include "sequoiapath/coordination/session_table.h"
+#include "sequoiapath/protocol/peer_message.h"
 #include "sequoiapath/state/job_runner.h"
 #include "sequoiapath/state/settings.h"
 #include "sequoiapath/transport/http_server.h"
 
 namespace sequoiapath {
 
+// Receives an HTTP status and a body in JSON; calls after the first have no
+// effect.
+using AnswerCallback = std::function<void(int status, std::string body)>;
+
+// Forwards a request to the process that owns the session, and calls the
+// callback exactly once, never before it returns.
+using ForwardFunction =
+    std::function<void(const SessionId& session, const Forward& request,
+                       std::function<void(Result<ForwardReply>)> callback)>;
+
 // Answers callers' requests. Thread safety: loop thread only.
 class CallerApi {
  public:
@@ -34,6 +46,23 @@
   // Refuses new jobs from now on; running ones are answered.
   void BeginStop() { this->stopping = true; }
 
+  // Sets the function that forwards requests for sessions of other processes.
+  // Without it they are refused as owner_lost.
+  void SetForwarder(ForwardFunction forward) {
+    this->forward = std::move(forward);
+  }
+
+  // Answers a request that another daemon forwarded. Returns false without an
+  // answer if this process does not answer for the session. The job's deadline
+  // is at most `request.remaining` from now.
+  bool AnswerForwarded(const Forward& request, const AnswerCallback& answer);
+
+  // Refuses submissions that would start as kMayHaveRun from now on, because
+  // the successor may start them. Precondition: BeginStop was called.
+  void BeginHandover() { this->handing_over = true; }
+
+  bool IsStopping() const { return this->stopping; }
+
   // Answers one request. Every answer is JSON with a `request_id`.
   void Handle(const HttpRequest& request, const HttpResponder& responder);
 
@@ -49,24 +78,38 @@
  private:
   using SubmissionKey = std::pair<SessionKey, SequenceNumber>;
 
+  struct Submission {
+    const std::string& body;
+    // Bounds the deadline of a forwarded submission.
+    std::optional<Duration> remaining;
+  };
+
   void OpenSession(const HttpRequest& request, const HttpResponder& responder);
-  void Submit(const SubmissionKey& key, const HttpRequest& request,
-              const HttpResponder& responder);
+  void Submit(const SubmissionKey& key, const Submission& submission,
+              const AnswerCallback& answer);
   // Returns why no new job is taken now, if so.
   std::optional<Failure> CheckReadiness() const;
+  // Returns why a submission that would start is refused now, if so.
+  std::optional<Failure> CheckStart() const;
   // Checks a submission and fills in `spec`; returns why it is refused, if so.
   std::optional<Failure> PrepareJob(const std::string& team,
-                                    const std::string& body, JobSpec* spec);
-  void JoinJob(const SubmissionKey& key, const HttpResponder& responder);
+                                    const Submission& submission,
+                                    JobSpec* spec);
+  void JoinJob(const SubmissionKey& key, const AnswerCallback& answer);
   void StartNewJob(const SubmissionKey& key, const std::string& team,
-                   const HttpRequest& request, const HttpResponder& responder);
-  void Cancel(const SubmissionKey& key, const HttpResponder& responder);
+                   const Submission& submission, const AnswerCallback& answer);
+  void Cancel(const SubmissionKey& key, const AnswerCallback& answer);
+  void ForwardRequest(const SessionId& session, Forward request,
+                      const AnswerCallback& answer);
+  // Returns the time that a submission's deadline leaves, as far as known here.
+  Duration RemainingTime(const std::string& body) const;
   void Finish(const SubmissionKey& key, const JobAnswer& answer);
   void HandleJobPath(std::string_view path, const HttpRequest& request,
                      const HttpResponder& responder);
   void AnswerReadiness(const HttpResponder& responder);
   void RequireSession(const HttpResponder& responder);
   void Refuse(const HttpResponder& responder, Failure failure);
+  void Refuse(const AnswerCallback& answer, Failure failure);
   // Refuses a request with a status that its reason does not imply.
   void RefuseWithStatus(const HttpResponder& responder, int status,
                         std::string detail, HttpHeaders headers = {});
@@ -80,10 +123,12 @@
   std::shared_ptr<const Catalog> catalog;
   SessionTable sessions;
   // Requests that wait for the answer of a running submission.
-  std::map<SubmissionKey, std::vector<HttpResponder>> waiters;
+  std::map<SubmissionKey, std::vector<AnswerCallback>> waiters;
   std::map<SubmissionKey, JobId> running;
   std::uint64_t next_request = 1;
+  ForwardFunction forward;
   bool stopping = false;
+  bool handing_over = false;
 };
 
 }  // namespace sequoiapath
--- a/packages/state/include/sequoiapath/state/job_runner.h
+++ b/packages/state/include/sequoiapath/state/job_runner.h
@@ -74,6 +74,10 @@
   // stop. Has no effect on a finished job.
   void Cancel(JobId id);
 
+  // Ends every job at once with what is known of its tasks, because this
+  // process ends. A job with a task in flight ends as kMayHaveRun.
+  void AbandonJobs();
+
   // Returns the number of jobs without an answer.
   std::size_t RunningJobs() const;
 
--- a/packages/state/src/caller_api.cc
+++ b/packages/state/src/caller_api.cc
@@ -33,6 +33,10 @@
 constexpr std::size_t kTeamPartOfQueue = 2;
 // Each waiter holds a connection's state until the job ends.
 constexpr std::size_t kMaxWaitersPerJob = 64;
+// Bounds a forwarded submission that names no deadline and whose service is not
+// known here.
+constexpr Duration kLongestForward = std::chrono::seconds(60);
+constexpr Duration kCancelTimeout = std::chrono::seconds(2);
 // Bounds what an error message repeats of the request.
 constexpr std::size_t kMaxQuotedBytes = 64;
 
@@ -44,6 +48,12 @@
   return JsonResponse(HttpStatus(answer), EncodeJobAnswer(answer));
 }
 
+AnswerCallback AnswerTo(const HttpResponder& responder) {
+  return [responder](int status, std::string body) {
+    responder.Respond(JsonResponse(status, std::move(body)));
+  };
+}
+
 Failure NotRun(Reason reason, RetryAdvice retry, std::string detail) {
   return {Verdict::kNotRun, reason, retry, std::nullopt, std::move(detail)};
 }
@@ -174,6 +184,11 @@
       internal::AnswerResponse({this->NewRequestId(), std::move(failure)}));
 }
 
+void CallerApi::Refuse(const AnswerCallback& answer, Failure failure) {
+  const JobAnswer refusal{this->NewRequestId(), std::move(failure)};
+  answer(HttpStatus(refusal), EncodeJobAnswer(refusal));
+}
+
 void CallerApi::RefuseWithStatus(const HttpResponder& responder, int status,
                                  std::string detail, HttpHeaders headers) {
   HttpResponse response = internal::AnswerResponse(
@@ -261,19 +276,84 @@
         internal::NotRun(Reason::kInvalidRequest, RetryAdvice::kNewSession,
                          "the session id is not valid"));
   }
+  const bool submits = request.method == "PUT";
+  const AnswerCallback answer = internal::AnswerTo(responder);
   if (!this->AnswersFor(session->incarnation)) {
-    return this->Refuse(
-        responder, Failure{Verdict::kMayHaveRun, Reason::kOwnerLost,
-                           RetryAdvice::kNewSession, std::nullopt,
-                           "the process that owned the session has ended"});
+    return this->ForwardRequest(
+        *session,
+        {submits ? ForwardAction::kSubmit : ForwardAction::kCancel,
+         job->session,
+         job->sequence,
+         request.body,
+         {}},
+        answer);
   }
   const SubmissionKey key{{session->incarnation, session->counter},
                           job->sequence};
-  if (request.method == "PUT") {
-    this->Submit(key, request, responder);
+  if (submits) {
+    this->Submit(key, {request.body, std::nullopt}, answer);
+  } else {
+    this->Cancel(key, answer);
+  }
+}
+
+bool CallerApi::AnswerForwarded(const Forward& request,
+                                const AnswerCallback& answer) {
+  const auto session =
+      DecodeSessionId(request.session, this->settings->cluster_key);
+  if (!session || request.sequence == 0 ||
+      request.sequence > kMaxSequenceNumber) {
+    this->Refuse(answer, internal::NotRun(
+                             Reason::kInvalidRequest, RetryAdvice::kNewSession,
+                             "the forwarded request is not valid"));
+    return true;
+  }
+  if (!this->AnswersFor(session->incarnation)) return false;
+  const SubmissionKey key{{session->incarnation, session->counter},
+                          request.sequence};
+  if (request.action == ForwardAction::kSubmit) {
+    this->Submit(key, {request.body, request.remaining}, answer);
   } else {
-    this->Cancel(key, responder);
+    this->Cancel(key, answer);
+  }
+  return true;
+}
+
+void CallerApi::ForwardRequest(const SessionId& session, Forward request,
+                               const AnswerCallback& answer) {
+  if (!this->forward) {
+    return this->Refuse(
+        answer, Failure{Verdict::kMayHaveRun, Reason::kOwnerLost,
+                        RetryAdvice::kNewSession, std::nullopt,
+                        "the process that owned the session has ended"});
   }
+  request.remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+      request.action == ForwardAction::kSubmit
+          ? this->RemainingTime(request.body)
+          : internal::kCancelTimeout);
+  this->forward(session, request, [this, answer](Result<ForwardReply> result) {
+    if (const Failure* failure = GetFailure(result)) {
+      return this->Refuse(answer, *failure);
+    }
+    auto& reply = std::get<ForwardReply>(result);
+    answer(reply.status, std::move(reply.body));
+  });
+}
+
+Duration CallerApi::RemainingTime(const std::string& body) const {
+  Duration remaining = internal::kLongestForward;
+  const Result<JobRequest> decoded = DecodeJobRequest(body);
+  const auto* job = std::get_if<JobRequest>(&decoded);
+  // The owner refuses a body that cannot be read.
+  if (job == nullptr) return remaining;
+  if (job->deadline) remaining = std::min<Duration>(remaining, *job->deadline);
+  const ServiceSpec* service = this->catalog == nullptr
+                                   ? nullptr
+                                   : FindService(*this->catalog, job->service);
+  if (service != nullptr) {
+    remaining = std::min<Duration>(remaining, service->deadline);
+  }
+  return remaining;
 }
 
 std::optional<Failure> CallerApi::CheckReadiness() const {
@@ -321,48 +401,54 @@
       internal::JsonResponse(internal::kStatusCreated, body.dump()));
 }
 
-void CallerApi::Submit(const SubmissionKey& key, const HttpRequest& request,
-                       const HttpResponder& responder) {
+std::optional<Failure> CallerApi::CheckStart() const {
+  auto failure = this->CheckReadiness();
+  if (!failure) return std::nullopt;
+  failure->retry = RetryAdvice::kSameSequence;
+  if (this->handing_over) failure->verdict = Verdict::kMayHaveRun;
+  return failure;
+}
+
+void CallerApi::Submit(const SubmissionKey& key, const Submission& submission,
+                       const AnswerCallback& answer) {
   const TimePoint now = this->loop->Now();
   ExpireSessions(&this->sessions, now);
   // The number is not recorded, so that the successor or a later submission may
   // still start it.
   if (WouldStart(this->sessions, key.first, key.second, now)) {
-    if (auto failure = this->CheckReadiness()) {
-      failure->retry = RetryAdvice::kSameSequence;
-      return this->Refuse(responder, *std::move(failure));
+    if (auto failure = this->CheckStart()) {
+      return this->Refuse(answer, *std::move(failure));
     }
   }
   SubmissionDecision decision =
       AdmitSubmission(&this->sessions, key.first, key.second, now);
   if (const auto* start = std::get_if<StartJob>(&decision)) {
-    this->StartNewJob(key, start->team, request, responder);
+    this->StartNewJob(key, start->team, submission, answer);
   } else if (std::holds_alternative<JoinRunningJob>(decision)) {
-    this->JoinJob(key, responder);
+    this->JoinJob(key, answer);
   } else if (auto* stored = std::get_if<StoredAnswer>(&decision)) {
-    responder.Respond(
-        internal::JsonResponse(stored->status, std::move(stored->body)));
+    answer(stored->status, std::move(stored->body));
   } else {
-    this->Refuse(responder, std::get<Failure>(std::move(decision)));
+    this->Refuse(answer, std::get<Failure>(std::move(decision)));
   }
 }
 
 void CallerApi::JoinJob(const SubmissionKey& key,
-                        const HttpResponder& responder) {
+                        const AnswerCallback& answer) {
   auto& waiting = this->waiters[key];
   if (waiting.size() >= internal::kMaxWaitersPerJob) {
-    return this->Refuse(responder,
+    return this->Refuse(answer,
                         Failure{Verdict::kMayHaveRun, Reason::kOverloaded,
                                 RetryAdvice::kSameSequence, std::nullopt,
                                 "too many requests wait for this submission"});
   }
-  waiting.push_back(responder);
+  waiting.push_back(answer);
 }
 
 std::optional<Failure> CallerApi::PrepareJob(const std::string& team,
-                                             const std::string& body,
+                                             const Submission& submission,
                                              JobSpec* spec) {
-  Result<JobRequest> decoded = DecodeJobRequest(body);
+  Result<JobRequest> decoded = DecodeJobRequest(submission.body);
   if (const Failure* failure = GetFailure(decoded)) return *failure;
   auto& job = std::get<JobRequest>(decoded);
   const ServiceSpec* service = FindService(*this->catalog, job.service);
@@ -378,8 +464,9 @@
         "no configured worker has the resources at the places asked for");
   }
   const TeamSpec* team_spec = FindTeam(*this->catalog, team);
-  const auto allowed =
-      std::min(job.deadline.value_or(service->deadline), service->deadline);
+  Duration allowed = std::min<Duration>(
+      job.deadline.value_or(service->deadline), service->deadline);
+  if (submission.remaining) allowed = std::min(allowed, *submission.remaining);
   spec->team = team;
   spec->weight = team_spec == nullptr ? 1 : team_spec->weight;
   spec->service = *service;
@@ -389,12 +476,12 @@
 }
 
 void CallerApi::StartNewJob(const SubmissionKey& key, const std::string& team,
-                            const HttpRequest& request,
-                            const HttpResponder& responder) {
-  this->waiters[key].push_back(responder);
+                            const Submission& submission,
+                            const AnswerCallback& answer) {
+  this->waiters[key].push_back(answer);
   JobSpec spec;
   spec.request_id = this->NewRequestId();
-  if (auto failure = this->PrepareJob(team, request.body, &spec)) {
+  if (auto failure = this->PrepareJob(team, submission, &spec)) {
     this->Finish(key, {spec.request_id, *std::move(failure)});
     return;
   }
@@ -403,18 +490,19 @@
       [this, key](const JobAnswer& answer) { this->Finish(key, answer); });
 }
 
-void CallerApi::Cancel(const SubmissionKey& key,
-                       const HttpResponder& responder) {
+void CallerApi::Cancel(const SubmissionKey& key, const AnswerCallback& answer) {
   const auto it = this->running.find(key);
   if (it == this->running.end()) {
-    return this->RefuseWithStatus(responder, internal::kStatusNotFound,
-                                  "no such running job");
+    const JobAnswer refusal{
+        this->NewRequestId(),
+        internal::NotRun(Reason::kInvalidRequest, RetryAdvice::kNever,
+                         "no such running job")};
+    return answer(internal::kStatusNotFound, EncodeJobAnswer(refusal));
   }
   this->runner->Cancel(it->second);
   const nlohmann::json body{{"cancelling", true},
                             {"request_id", this->NewRequestId()}};
-  responder.Respond(
-      internal::JsonResponse(internal::kStatusAccepted, body.dump()));
+  answer(internal::kStatusAccepted, body.dump());
 }
 
 void CallerApi::Finish(const SubmissionKey& key, const JobAnswer& answer) {
@@ -423,8 +511,8 @@
                    this->loop->Now());
   this->running.erase(key);
   const auto node = this->waiters.extract(key);
-  for (const HttpResponder& responder : node.mapped()) {
-    responder.Respond(internal::JsonResponse(HttpStatus(answer), body));
+  for (const AnswerCallback& waiting : node.mapped()) {
+    waiting(HttpStatus(answer), body);
   }
   if (const auto* failure = std::get_if<Failure>(&answer.outcome)) {
     Log(LogLevel::kInfo, "job_failed",
--- a/packages/state/src/daemon.cc
+++ b/packages/state/src/daemon.cc
@@ -11,8 +11,12 @@
 #include "sequoiapath/state/config_watch.h"
 #include "sequoiapath/state/job_runner.h"
 #include "sequoiapath/state/log.h"
+#include "sequoiapath/state/membership.h"
 #include "sequoiapath/state/observation.h"
 #include "sequoiapath/state/operator_api.h"
+#include "sequoiapath/state/peer_service.h"
+#include "sequoiapath/state/session_handover.h"
+#include "sequoiapath/state/session_router.h"
 #include "sequoiapath/state/store_client.h"
 #include "sequoiapath/transport/http_server.h"
 
@@ -21,6 +25,8 @@
 
 constexpr auto kStoreTimeout = std::chrono::seconds(2);
 constexpr auto kLogReportInterval = std::chrono::seconds(1);
+// Lets the last answers leave the process.
+constexpr auto kFlushTime = std::chrono::milliseconds(200);
 constexpr auto kStopPollInterval = std::chrono::milliseconds(20);
 
 Incarnation DrawIncarnation() {
@@ -52,6 +58,12 @@
   std::unique_ptr<HttpServer> operator_server;
   std::uint64_t generation = 0;
   bool stopping = false;
+  bool abandoned = false;
+  std::unique_ptr<Membership> membership;
+  std::unique_ptr<SessionRouter> router;
+  std::unique_ptr<SessionHandover> handover;
+  // Destroyed first, because ending its requests calls back into the others.
+  std::unique_ptr<PeerService> peers;
 };
 
 namespace {
@@ -125,11 +137,60 @@
                          [daemon] { ReportLogPeriodically(daemon); });
 }
 
+// Connects to the other daemons; returns an error message if the socket cannot
+// be bound.
+std::optional<std::string> ServePeers(DaemonState* daemon) {
+  auto built = PeerServiceBuilder(daemon->loop)
+                   .Listen(daemon->settings.peer_listen)
+                   .ClusterKey(daemon->settings.cluster_key)
+                   .Build();
+  if (const auto* error = std::get_if<ListenError>(&built)) {
+    return error->message;
+  }
+  daemon->peers = std::get<std::unique_ptr<PeerService>>(std::move(built));
+  PeerService* peers = daemon->peers.get();
+  daemon->membership = std::make_unique<Membership>(
+      daemon->loop, peers,
+      MemberIdentity{daemon->settings.data_centre, daemon->settings.vm,
+                     daemon->settings.peer_listen, daemon->incarnation},
+      daemon->settings.seeds);
+  daemon->router = std::make_unique<SessionRouter>(
+      daemon->loop, peers, daemon->membership.get(), &daemon->caller_api);
+  daemon->handover = std::make_unique<SessionHandover>(
+      daemon->loop, peers, daemon->membership.get(), &daemon->caller_api);
+  return std::nullopt;
+}
+
+std::size_t PendingRequests(const DaemonState& daemon) {
+  return daemon.caller_server->PendingRequests() +
+         daemon.peers->PendingRequests();
+}
+
+// Answers everything that waits with what is known, and ends the loop.
+void AbandonStop(DaemonState* daemon) {
+  if (daemon->abandoned) return;
+  daemon->abandoned = true;
+  Log(LogLevel::kWarning, "stop_abandoned",
+      {{"running_jobs", daemon->runner.RunningJobs()},
+       {"pending_requests", PendingRequests(*daemon)}});
+  daemon->runner.AbandonJobs();
+  daemon->router->AbandonRequests();
+  daemon->loop->Schedule(kFlushTime, [daemon] {
+    Log(LogLevel::kInfo, "stopped", {{"drained", false}});
+    daemon->loop->RequestStop();
+  });
+}
+
+// Waits until jobs and requests have ended, hands the sessions over, and ends
+// the loop once the succession is known.
 void PollStop(DaemonState* daemon, TimePoint give_up) {
-  const bool drained = daemon->runner.RunningJobs() == 0 &&
-                       daemon->caller_server->PendingRequests() == 0;
-  if (drained || daemon->loop->Now() >= give_up) {
-    Log(LogLevel::kInfo, "stopped", {{"drained", drained}});
+  if (daemon->abandoned) return;
+  if (daemon->loop->Now() >= give_up) return AbandonStop(daemon);
+  const bool drained =
+      daemon->runner.RunningJobs() == 0 && PendingRequests(*daemon) == 0;
+  if (drained) daemon->handover->Start();
+  if (drained && daemon->handover->IsDone()) {
+    Log(LogLevel::kInfo, "stopped", {{"drained", true}});
     daemon->loop->RequestStop();
     return;
   }
@@ -147,14 +208,12 @@
 
 void Daemon::BeginStop() {
   internal::DaemonState* daemon = this->state.get();
-  if (daemon->stopping) {
-    daemon->loop->RequestStop();
-    return;
-  }
+  if (daemon->stopping) return internal::AbandonStop(daemon);
   daemon->stopping = true;
   Log(LogLevel::kInfo, "stopping",
       {{"running_jobs", daemon->runner.RunningJobs()}});
   daemon->caller_api.BeginStop();
+  daemon->membership->BeginLeaving();
   internal::PollStop(daemon,
                      daemon->loop->Now() + daemon->settings.stop_timeout);
 }
@@ -180,11 +239,13 @@
   daemon->caller_server =
       std::get<std::unique_ptr<HttpServer>>(std::move(server));
   if (auto error = internal::ServeOperators(daemon)) return *std::move(error);
+  if (auto error = internal::ServePeers(daemon)) return *std::move(error);
   internal::ReportLogPeriodically(daemon);
   daemon->config_watch = std::make_unique<ConfigWatch>(
       this->loop, &daemon->store, [daemon](const ConfigRecord& record) {
         internal::AdoptConfig(daemon, record);
       });
+  daemon->membership->Start();
   return std::unique_ptr<Daemon>(new Daemon(std::move(state)));
 }
 
--- a/packages/state/src/job_runner.cc
+++ b/packages/state/src/job_runner.cc
@@ -149,6 +149,18 @@
   this->FailJob(job, Reason::kCancelled, "cancelled by the caller");
 }
 
+void JobRunner::AbandonJobs() {
+  while (!this->jobs.empty()) {
+    RunningJob* job = this->jobs.begin()->second.get();
+    if (!job->failure) {
+      job->failure =
+          Failure{Verdict::kNotRun, Reason::kStopping, RetryAdvice::kNever,
+                  std::nullopt, "the daemon ended before the job was finished"};
+    }
+    this->Finish(job);
+  }
+}
+
 std::size_t JobRunner::RunningJobs() const { return this->jobs.size(); }
 
 RunningJob* JobRunner::FindJob(JobId id) {
--- /dev/null
+++ b/packages/state/src/session_router.cc
@@ -0,0 +1,129 @@
+#include "sequoiapath/state/session_router.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "sequoiapath/state/log.h"
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+// The owner answers at the deadline; its answer needs time to come back.
+constexpr auto kAnswerMargin = std::chrono::seconds(1);
+
+Failure OwnerLost() {
+  return {Verdict::kMayHaveRun, Reason::kOwnerLost, RetryAdvice::kNewSession,
+          std::nullopt, "the process that owned the session has ended"};
+}
+
+Failure OwnerUnreachable(const std::string& cause) {
+  return {Verdict::kMayHaveRun, Reason::kOwnerUnreachable,
+          RetryAdvice::kSameSequence, std::nullopt,
+          "no answer from the session's owner: " + cause};
+}
+
+// Says whether a later process of the VM is known to have taken its place.
+bool IsReplaced(const Membership& membership, const std::string& vm,
+                Incarnation incarnation) {
+  if (membership.view().replaced.contains(incarnation)) return true;
+  if (vm == membership.self().vm) {
+    return incarnation != membership.self().incarnation;
+  }
+  const Member* member = membership.FindMember(vm);
+  return member != nullptr && member->heard_directly &&
+         member->identity.incarnation != incarnation;
+}
+
+}  // namespace
+}  // namespace internal
+
+SessionRouter::SessionRouter(EventLoop* loop, PeerService* peers,
+                             const Membership* membership,
+                             CallerApi* caller_api)
+    : loop(loop), peers(peers), membership(membership), caller_api(caller_api) {
+  peers->Handle<Forward>(
+      [this](const Forward& request, const PeerReplier<ForwardReply>& reply) {
+        this->AnswerForward(request, reply);
+      });
+  caller_api->SetForwarder([this](const SessionId& session,
+                                  const Forward& request,
+                                  ReplyCallback callback) {
+    this->Route(session, request, std::move(callback));
+  });
+}
+
+Result<Endpoint> SessionRouter::FindOwner(const SessionId& session) const {
+  const auto successor = FindSuccessor(this->membership->view(),
+                                       session.incarnation, this->loop->Now());
+  const std::string& vm = successor ? successor->vm : session.vm;
+  const Incarnation owner =
+      successor ? successor->incarnation : session.incarnation;
+  if (internal::IsReplaced(*this->membership, vm, owner) ||
+      owner == this->membership->self().incarnation) {
+    return internal::OwnerLost();
+  }
+  return successor ? successor->peer_endpoint : session.peer_endpoint;
+}
+
+void SessionRouter::Route(const SessionId& session, const Forward& request,
+                          ReplyCallback callback) {
+  const std::uint64_t number = this->next_number++;
+  this->waiting[number] = std::move(callback);
+  const Result<Endpoint> owner = this->FindOwner(session);
+  if (const Failure* failure = GetFailure(owner)) {
+    this->loop->Schedule(Duration(0), [this, number, failure = *failure] {
+      this->Finish(number, failure);
+    });
+    return;
+  }
+  this->peers->Send<Forward>(
+      std::get<Endpoint>(owner), request,
+      request.remaining + internal::kAnswerMargin,
+      [this, number, session](Result<ForwardReply> result) {
+        if (const Failure* failure = GetFailure(result)) {
+          return this->Finish(number, this->Judge(session, *failure));
+        }
+        this->Finish(number, std::move(result));
+      });
+}
+
+void SessionRouter::Finish(std::uint64_t number, Result<ForwardReply> result) {
+  const auto node = this->waiting.extract(number);
+  if (!node.empty()) node.mapped()(std::move(result));
+}
+
+Failure SessionRouter::Judge(const SessionId& session,
+                             const Failure& failure) const {
+  Log(LogLevel::kInfo, "forward_failed",
+      {{"owner", session.vm},
+       {"reason", ToString(failure.reason)},
+       {"detail", failure.detail}});
+  // The receiver refused because another process answers now. A record that
+  // arrived meanwhile names it, so the caller may ask again.
+  if (failure.reason == Reason::kOwnerLost &&
+      !FindSuccessor(this->membership->view(), session.incarnation,
+                     this->loop->Now())) {
+    return internal::OwnerLost();
+  }
+  return internal::OwnerUnreachable(failure.detail);
+}
+
+void SessionRouter::AnswerForward(const Forward& request,
+                                  const PeerReplier<ForwardReply>& reply) {
+  const bool answers = this->caller_api->AnswerForwarded(
+      request, [reply](int status, std::string body) {
+        reply(ForwardReply{status, std::move(body)});
+      });
+  if (!answers) reply(internal::OwnerLost());
+}
+
+void SessionRouter::AbandonRequests() {
+  while (!this->waiting.empty()) {
+    this->Finish(this->waiting.begin()->first,
+                 internal::OwnerUnreachable("this daemon has ended"));
+  }
+}
+
+}  // namespace sequoiapath
--- a/tests/fuzz/peer_message_test.cc
+++ b/tests/fuzz/peer_message_test.cc
@@ -51,6 +51,9 @@
   message.sessions = {{1, "clerks", std::chrono::milliseconds(5), 40, {}}};
   message.sessions[0].records = {
       {40, HandedOverState::kFinished, 200, "{}", Verdict::kRan}};
+  message.sessions[0].watermark = 39;
+  message.sessions[0].incarnation = 12;
+  message.last = false;
   return message;
 }
 
--- a/tests/process/planned_stop.sh
+++ b/tests/process/planned_stop.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Guards G7: a planned stop answers the jobs in flight and refuses new ones as
-# not run; the process ends with exit code 0.
+# not run; the process ends with exit code 0. A second signal, or the bound of the
+# stop, ends it at once, but every waiting request gets its real verdict first.
 set -uo pipefail
 source "$(dirname "$0")/../../scripts/lib.sh"
 
@@ -23,4 +24,33 @@
 wait "$(pid_of vm-1)"
 expect "exit code of the daemon" $? = 0
 expect "starts" "$(worker_stat starts)" = 16
+
+# stop_during_job NAME: submits a job of 3 s in a new process of vm-1 and sends a
+# signal while it runs.
+stop_during_job() {
+  wait_ready 21210
+  session=$(sequoiapath session --endpoint 127.0.0.1:21210 --team clerks)
+  sequoiapath submit --endpoint 127.0.0.1:21210 --session "$session" "$run_dir/long.json" >"$run_dir/$1.json" &
+  submission=$!
+  sleep 0.3
+  kill -TERM "$(pid_of vm-1)"
+}
+write_job "$run_dir/long.json" post 4 3000
+start_daemon vm-1 heredia 21210 "$store_port"
+stop_during_job second
+sleep 0.3
+kill -TERM "$(pid_of vm-1)"
+wait "$submission"
+expect_answer "the second signal answers the job in flight" "$run_dir/second.json" '"reason":"stopping".*"verdict":"may_have_run"'
+wait "$(pid_of vm-1)"
+expect "exit code after the second signal" $? = 0
+
+write_settings vm-1 heredia 21210 "$store_port"
+echo 'stop_timeout_ms = 1000' >>"$run_dir/vm-1.toml"
+start vm-1 "$build/packages/daemon/sequoiapathd" --settings "$run_dir/vm-1.toml"
+stop_during_job bound
+wait "$submission"
+expect_answer "the bound answers the job in flight" "$run_dir/bound.json" '"reason":"stopping".*"verdict":"may_have_run"'
+wait "$(pid_of vm-1)"
+expect "exit code after the bound" $? = 0
 finish
