--- a/packages/fakes/fake_worker.cc
+++ b/packages/fakes/fake_worker.cc
@@ -3,6 +3,9 @@
 // run_ms (run time), fail (answer 500), refuse (answer 503, not started), and
 // any other keys; the result is the payload itself.
 //
+// The record has a line "PORT TASK_ID VALUE" for each start; VALUE is the
+// payload's "value", or "-".
+//
 // GET /stats on any port reports counts over all workers of the process.
 
 #include <fmt/format.h>
@@ -60,12 +63,14 @@
           std::move(body)};
 }
 
-void RecordStart(Fleet* fleet, FakeWorker* worker, const std::string& id) {
+void RecordStart(Fleet* fleet, FakeWorker* worker, const std::string& id,
+                 const std::string& value) {
   ++worker->starts;
   if (++fleet->starts_by_id[id] > 1) ++fleet->duplicate_starts;
   if (worker->running.size() >= fleet->slots) ++fleet->over_limit_starts;
   if (fleet->record != nullptr) {
-    fmt::print(fleet->record, "{} {}\n", worker->server->endpoint().port, id);
+    fmt::print(fleet->record, "{} {} {}\n", worker->server->endpoint().port, id,
+               value);
     std::fflush(fleet->record);
   }
 }
@@ -93,7 +98,9 @@
     responder.Respond(response);
     return;
   }
-  RecordStart(fleet, worker, id);
+  RecordStart(
+      fleet, worker, id,
+      object && payload.contains("value") ? payload["value"].dump() : "-");
   const bool fails = object && payload.value("fail", false);
   const std::chrono::milliseconds run_time(object ? payload.value("run_ms", 0)
                                                   : 0);
