--- a/packages/state/src/daemon.cc
+++ b/packages/state/src/daemon.cc
@@ -17,6 +17,8 @@
 #include "sequoiapath/state/observation.h"
 #include "sequoiapath/state/operator_api.h"
 #include "sequoiapath/state/peer_service.h"
+#include "sequoiapath/state/session_handover.h"
+#include "sequoiapath/state/session_router.h"
 #include "sequoiapath/state/store_client.h"
 #include "sequoiapath/transport/http_server.h"
 
@@ -26,6 +28,8 @@
 constexpr auto kStoreTimeout = std::chrono::seconds(2);
 constexpr auto kChangeTimeLimit = std::chrono::seconds(5);
 constexpr auto kLogReportInterval = std::chrono::seconds(1);
+// Lets the last answers leave the process.
+constexpr auto kFlushTime = std::chrono::milliseconds(200);
 constexpr auto kStopPollInterval = std::chrono::milliseconds(20);
 
 Incarnation DrawIncarnation() {
@@ -55,15 +59,19 @@
   CallerApi caller_api;
   StoreClient store;
   ConfigStore config_store;
-  std::unique_ptr<PeerService> peers;
-  std::unique_ptr<Membership> membership;
-  std::unique_ptr<ConfigKeeper> config_keeper;
   std::unique_ptr<HttpServer> caller_server;
   std::shared_ptr<const Catalog> catalog;
   std::unique_ptr<OperatorApi> operator_api;
   std::unique_ptr<HttpServer> operator_server;
   std::uint64_t generation = 0;
   bool stopping = false;
+  bool abandoned = false;
+  std::unique_ptr<Membership> membership;
+  std::unique_ptr<ConfigKeeper> config_keeper;
+  std::unique_ptr<SessionRouter> router;
+  std::unique_ptr<SessionHandover> handover;
+  // Destroyed first, because ending its requests calls back into the others.
+  std::unique_ptr<PeerService> peers;
 };
 
 namespace {
@@ -178,11 +186,45 @@
                          [daemon] { ReportLogPeriodically(daemon); });
 }
 
+void RouteSessions(DaemonState* daemon) {
+  daemon->router = std::make_unique<SessionRouter>(
+      daemon->loop, daemon->peers.get(), daemon->membership.get(),
+      &daemon->caller_api);
+  daemon->handover = std::make_unique<SessionHandover>(
+      daemon->loop, daemon->peers.get(), daemon->membership.get(),
+      &daemon->caller_api);
+}
+
+std::size_t PendingRequests(const DaemonState& daemon) {
+  return daemon.caller_server->PendingRequests() +
+         daemon.peers->PendingRequests();
+}
+
+// Answers everything that waits with what is known, and ends the loop.
+void AbandonStop(DaemonState* daemon) {
+  if (daemon->abandoned) return;
+  daemon->abandoned = true;
+  Log(LogLevel::kWarning, "stop_abandoned",
+      {{"running_jobs", daemon->runner.RunningJobs()},
+       {"pending_requests", PendingRequests(*daemon)}});
+  daemon->runner.AbandonJobs();
+  daemon->router->AbandonRequests();
+  daemon->loop->Schedule(kFlushTime, [daemon] {
+    Log(LogLevel::kInfo, "stopped", {{"drained", false}});
+    daemon->loop->RequestStop();
+  });
+}
+
+// Waits until jobs and requests have ended, hands the sessions over, and ends
+// the loop once the succession is known.
 void PollStop(DaemonState* daemon, TimePoint give_up) {
-  const bool drained = daemon->runner.RunningJobs() == 0 &&
-                       daemon->caller_server->PendingRequests() == 0;
-  if (drained || daemon->loop->Now() >= give_up) {
-    Log(LogLevel::kInfo, "stopped", {{"drained", drained}});
+  if (daemon->abandoned) return;
+  if (daemon->loop->Now() >= give_up) return AbandonStop(daemon);
+  const bool drained =
+      daemon->runner.RunningJobs() == 0 && PendingRequests(*daemon) == 0;
+  if (drained) daemon->handover->Start();
+  if (drained && daemon->handover->IsDone()) {
+    Log(LogLevel::kInfo, "stopped", {{"drained", true}});
     daemon->loop->RequestStop();
     return;
   }
@@ -200,15 +242,12 @@
 
 void Daemon::BeginStop() {
   internal::DaemonState* daemon = this->state.get();
-  if (daemon->stopping) {
-    daemon->loop->RequestStop();
-    return;
-  }
+  if (daemon->stopping) return internal::AbandonStop(daemon);
   daemon->stopping = true;
   Log(LogLevel::kInfo, "stopping",
       {{"running_jobs", daemon->runner.RunningJobs()}});
-  daemon->membership->BeginLeaving();
   daemon->caller_api.BeginStop();
+  daemon->membership->BeginLeaving();
   internal::PollStop(daemon,
                      daemon->loop->Now() + daemon->settings.stop_timeout);
 }
@@ -235,6 +274,7 @@
       std::get<std::unique_ptr<HttpServer>>(std::move(server));
   if (auto error = internal::StartPeers(daemon)) return *std::move(error);
   internal::KeepConfig(daemon);
+  internal::RouteSessions(daemon);
   if (auto error = internal::ServeOperators(daemon)) return *std::move(error);
   internal::ReportLogPeriodically(daemon);
   daemon->membership->Start();
