--- a/packages/coordination/include/sequoiapath/coordination/share_ledger.h
+++ b/packages/coordination/include/sequoiapath/coordination/share_ledger.h
@@ -189,6 +189,10 @@
 void BeginShares(ShareLedger* ledger, std::string self, const ShareTimes& times,
                  std::uint64_t incarnation, bool restarted, TimePoint now);
 
+// Raises the longest task lease, also for units that are lent already.
+// Precondition: `lease` is not below the present one.
+void ExtendLongestTaskLease(ShareLedger* ledger, Duration lease);
+
 // Takes over the workers and quotas that `data_centre` divides over its VMs.
 // Quotas are divided over data centres by worker slots.
 void SetResources(ShareLedger* ledger, const Document& document,
--- a/packages/coordination/include/sequoiapath/coordination/task_queue.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_queue.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "sequoiapath/coordination/share_ledger.h"
 #include "sequoiapath/protocol/job.h"
@@ -120,6 +121,20 @@
     TaskQueue* queue, const std::function<bool(const TaskGroup&)>& acquire,
     const std::function<bool(const std::string& team)>& team_allowed = {});
 
+// Waiting tasks of one team and placement.
+struct WaitingDemand {
+  std::string team;
+  Placement placement;
+  std::size_t tasks = 0;
+};
+
+// Returns the waiting tasks by priority, team and placement, most urgent first:
+// at most `max_demands` entries, each counted up to `max_tasks`, so the cost is
+// bounded however many jobs wait.
+std::vector<WaitingDemand> ListWaiting(const TaskQueue& queue,
+                                       std::size_t max_demands,
+                                       std::size_t max_tasks);
+
 }  // namespace sequoiapath
 
 #endif  // SEQUOIAPATH_COORDINATION_TASK_QUEUE_H_
--- a/packages/coordination/src/share_ledger.cc
+++ b/packages/coordination/src/share_ledger.cc
@@ -500,6 +500,18 @@
   ledger->settled_at = restarted ? now + HoldDown(times) : now;
 }
 
+void ExtendLongestTaskLease(ShareLedger* ledger, Duration lease) {
+  const Duration added = lease - ledger->times.longest_task_lease;
+  SEQUOIAPATH_ASSERT(added >= Duration::zero(),
+                     "VM {} shortens the longest task lease", ledger->self);
+  ledger->times.longest_task_lease = lease;
+  ledger->reclaims.clear();
+  for (auto& [id, loan] : ledger->lent) {
+    loan.reclaim += added;
+    ledger->reclaims.insert({loan.reclaim, id});
+  }
+}
+
 void SetResources(ShareLedger* ledger, const Document& document,
                   const std::string& data_centre, TimePoint now) {
   ledger->workers.clear();
--- a/packages/coordination/src/task_queue.cc
+++ b/packages/coordination/src/task_queue.cc
@@ -196,4 +196,26 @@
   return std::nullopt;
 }
 
+std::vector<WaitingDemand> ListWaiting(const TaskQueue& queue,
+                                       std::size_t max_demands,
+                                       std::size_t max_tasks) {
+  std::vector<WaitingDemand> demands;
+  for (const PriorityQueue& priority : queue.classes) {
+    for (const auto& [start, team] : priority.waiting) {
+      for (const PlacementQueue& placement : team->placements) {
+        if (demands.size() == max_demands) return demands;
+        WaitingDemand demand{team->team, {}, 0};
+        for (const auto& [due, group] : placement.jobs) {
+          demand.placement = group->group.placement;
+          demand.tasks += group->group.task_count - group->next_index +
+                          group->returned.size();
+          if (demand.tasks >= max_tasks) break;
+        }
+        if (demand.tasks > 0) demands.push_back(std::move(demand));
+      }
+    }
+  }
+  return demands;
+}
+
 }  // namespace sequoiapath
--- a/packages/protocol/include/sequoiapath/protocol/peer_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/peer_message.h
@@ -80,6 +80,7 @@
   UnitCount free;
   std::vector<QuotaCount> free_quota;
   std::uint64_t backlog = 0;  // Tasks that wait for a unit.
+  UnitCount units;            // Usable: owned and borrowed, without lent ones.
 
   friend bool operator==(const ShareStatus&, const ShareStatus&) = default;
 };
@@ -190,6 +191,10 @@
   std::vector<LoanGrant> grants;
   std::vector<std::uint64_t> renewed;  // Loans that were extended.
   std::chrono::milliseconds renewal_duration{0};
+  // The lender's load, newer than its last heartbeat.
+  UnitCount free;
+  std::uint64_t backlog = 0;
+  UnitCount units;
 
   friend bool operator==(const BorrowReply&, const BorrowReply&) = default;
 };
@@ -202,6 +207,8 @@
   Incarnation lender = 0;  // Another incarnation grants nothing.
   std::vector<LoanDemand> demands;
   std::vector<std::uint64_t> renewals;  // Loans to extend.
+  std::uint64_t backlog = 0;            // Of the borrower, as in ShareStatus.
+  UnitCount units;
 
   friend bool operator==(const Borrow&, const Borrow&) = default;
 };
--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -33,7 +33,7 @@
 SEQUOIAPATH_FIELDS(UnitCount, m.slots, m.accelerators)
 SEQUOIAPATH_FIELDS(QuotaCount, m.team, m.units)
 SEQUOIAPATH_FIELDS(ShareStatus, m.sequence, m.roster_epoch, m.settling,
-                   m.unreleased, m.free, m.free_quota, m.backlog)
+                   m.unreleased, m.free, m.free_quota, m.backlog, m.units)
 SEQUOIAPATH_FIELDS(HeartbeatReply, m.sender, m.leaving, m.config_generation,
                    m.config_digest, m.roster)
 SEQUOIAPATH_FIELDS(Heartbeat, m.sender, m.leaving, m.config_generation,
@@ -48,8 +48,10 @@
 SEQUOIAPATH_FIELDS(LoanDemand, m.demand, m.places, m.worker_tasks, m.team,
                    m.quota_units)
 SEQUOIAPATH_FIELDS(LoanGrant, m.loan_id, m.resource, m.units, m.duration)
-SEQUOIAPATH_FIELDS(Borrow, m.borrower, m.lender, m.demands, m.renewals)
-SEQUOIAPATH_FIELDS(BorrowReply, m.grants, m.renewed, m.renewal_duration)
+SEQUOIAPATH_FIELDS(Borrow, m.borrower, m.lender, m.demands, m.renewals,
+                   m.backlog, m.units)
+SEQUOIAPATH_FIELDS(BorrowReply, m.grants, m.renewed, m.renewal_duration, m.free,
+                   m.backlog, m.units)
 SEQUOIAPATH_FIELDS(ReturnedLoan, m.loan_id, m.kept)
 SEQUOIAPATH_FIELDS(Return, m.borrower, m.lender, m.returns)
 [[maybe_unused]] std::tuple<> Fields(const ReturnReply& /*message*/) {
--- a/packages/state/include/sequoiapath/state/job_runner.h
+++ b/packages/state/include/sequoiapath/state/job_runner.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "sequoiapath/coordination/admission.h"
@@ -37,6 +38,20 @@
   TimePoint deadline;
 };
 
+// Connects the runner's ledger with the other daemons of the data centre.
+struct ShareHooks {
+  std::string data_centre;  // Whose workers the ledger divides.
+  // Says whether tasks may be started now; asked for each task.
+  std::function<bool()> may_start;
+  // Called around each dispatch.
+  std::function<void()> before_dispatch;
+  std::function<void()> after_dispatch;
+};
+
+// A task may run this much longer than its lease from the sender's view: a
+// worker counts the lease from when it receives the task.
+constexpr auto kTaskLeaseMargin = std::chrono::milliseconds(500);
+
 using JobCallback = std::function<void(JobAnswer answer)>;
 
 namespace internal {
@@ -57,6 +72,23 @@
   // Takes over a new configuration; running tasks are not affected.
   void SetCatalog(std::shared_ptr<const Catalog> catalog);
 
+  // Shares the workers with other daemons; without this call the runner owns
+  // every worker of the catalog. Preconditions: SetCatalog was not called yet;
+  // all functions are callable.
+  void SetShareHooks(ShareHooks hooks) { this->hooks = std::move(hooks); }
+
+  // Returns the account of units. Call WakeUp after units were added to it.
+  ShareLedger* Ledger() { return &this->ledger; }
+
+  // Starts waiting tasks soon, and calls the hooks.
+  void WakeUp() { this->ScheduleDispatch(); }
+
+  // Returns what waits for units; see ListWaiting.
+  std::vector<WaitingDemand> WaitingDemands() const;
+
+  // Says whether a healthy worker with free units could take a task.
+  bool HasFreeWorker(const Placement& placement);
+
   // Bounds the waiting tasks of jobs that are admitted later.
   void SetAdmissionLimits(const AdmissionLimits& limits) {
     this->admission_limits = limits;
@@ -95,6 +127,8 @@
   };
 
   void Dispatch();
+  void StartWaitingTasks();
+  std::optional<Failure> RefuseForeignPlace(const JobSpec& spec) const;
   std::optional<HeldUnits> Acquire(const std::string& team,
                                    const Placement& placement, bool idempotent);
   void ScheduleWakeUp();
@@ -124,6 +158,7 @@
   EventLoop* loop;
   std::string task_id_prefix;
   std::shared_ptr<const Catalog> catalog;
+  std::optional<ShareHooks> hooks;
   ShareLedger ledger;
   TaskQueue queue;
   WorkerHealth health;
--- a/packages/state/src/daemon.cc
+++ b/packages/state/src/daemon.cc
@@ -11,8 +11,11 @@
 #include "sequoiapath/state/config_watch.h"
 #include "sequoiapath/state/job_runner.h"
 #include "sequoiapath/state/log.h"
+#include "sequoiapath/state/membership.h"
 #include "sequoiapath/state/observation.h"
 #include "sequoiapath/state/operator_api.h"
+#include "sequoiapath/state/peer_service.h"
+#include "sequoiapath/state/share_exchange.h"
 #include "sequoiapath/state/store_client.h"
 #include "sequoiapath/transport/http_server.h"
 
@@ -44,6 +47,9 @@
   JobRunner runner;
   CallerApi caller_api;
   StoreClient store;
+  std::unique_ptr<PeerService> peers;
+  std::unique_ptr<Membership> membership;
+  std::unique_ptr<ShareExchange> exchange;
   std::unique_ptr<ConfigWatch> config_watch;
   std::unique_ptr<HttpServer> caller_server;
   Observer observer;
@@ -67,6 +73,7 @@
   }
   daemon->generation = record.generation;
   const auto catalog = MakeCatalog(record, std::move(*document));
+  daemon->exchange->SetCatalog(*catalog);
   daemon->runner.SetCatalog(catalog);
   daemon->caller_api.SetCatalog(catalog);
   daemon->catalog = catalog;
@@ -119,6 +126,35 @@
   return std::nullopt;
 }
 
+// Binds the peer port and creates the member view; returns an error message if
+// the socket cannot be bound. The membership is started later, when all parts
+// have added their listeners.
+std::optional<std::string> StartPeers(DaemonState* daemon) {
+  const Settings& settings = daemon->settings;
+  auto built = PeerServiceBuilder(daemon->loop)
+                   .Listen(settings.peer_listen)
+                   .ClusterKey(settings.cluster_key)
+                   .Build();
+  if (const auto* error = std::get_if<ListenError>(&built)) {
+    return error->message;
+  }
+  daemon->peers = std::get<std::unique_ptr<PeerService>>(std::move(built));
+  daemon->membership = std::make_unique<Membership>(
+      daemon->loop, daemon->peers.get(),
+      MemberIdentity{settings.data_centre, settings.vm,
+                     daemon->peers->endpoint(), daemon->incarnation},
+      settings.seeds);
+  return std::nullopt;
+}
+
+// Divides the workers among the daemons of the data centre.
+void StartExchange(DaemonState* daemon) {
+  daemon->exchange = std::make_unique<ShareExchange>(ShareExchangeParts{
+      daemon->loop, daemon->peers.get(), daemon->membership.get(),
+      &daemon->runner, &daemon->store});
+  daemon->exchange->Start();
+}
+
 void ReportLogPeriodically(DaemonState* daemon) {
   ReportSuppressedLines();
   daemon->loop->Schedule(kLogReportInterval,
@@ -128,7 +164,9 @@
 void PollStop(DaemonState* daemon, TimePoint give_up) {
   const bool drained = daemon->runner.RunningJobs() == 0 &&
                        daemon->caller_server->PendingRequests() == 0;
-  if (drained || daemon->loop->Now() >= give_up) {
+  if (drained) daemon->exchange->BeginStop();
+  if ((drained && daemon->exchange->IsReleased()) ||
+      daemon->loop->Now() >= give_up) {
     Log(LogLevel::kInfo, "stopped", {{"drained", drained}});
     daemon->loop->RequestStop();
     return;
@@ -180,6 +218,9 @@
   daemon->caller_server =
       std::get<std::unique_ptr<HttpServer>>(std::move(server));
   if (auto error = internal::ServeOperators(daemon)) return *std::move(error);
+  if (auto error = internal::StartPeers(daemon)) return *std::move(error);
+  internal::StartExchange(daemon);
+  daemon->membership->Start();
   internal::ReportLogPeriodically(daemon);
   daemon->config_watch = std::make_unique<ConfigWatch>(
       this->loop, &daemon->store, [daemon](const ConfigRecord& record) {
--- a/packages/state/src/job_runner.cc
+++ b/packages/state/src/job_runner.cc
@@ -11,9 +11,10 @@
 namespace sequoiapath {
 namespace internal {
 
-// A worker counts the lease from when it receives the task, so the units of a
-// task without an answer are kept a little beyond the lease's end.
-constexpr auto kLeaseMargin = std::chrono::milliseconds(500);
+// Bounds of WaitingDemands. A lender rarely has more units; further tasks are
+// listed after the next dispatch.
+constexpr std::size_t kMaxDemands = 64;
+constexpr std::size_t kMaxDemandTasks = 512;
 // Backs off when no connection of a worker was free; the worker itself is not
 // avoided then.
 constexpr auto kLocalRetryDelay = std::chrono::milliseconds(20);
@@ -73,7 +74,12 @@
 JobRunner::~JobRunner() { this->closing = true; }
 
 void JobRunner::SetCatalog(std::shared_ptr<const Catalog> catalog) {
-  SetWorkers(&this->ledger, catalog->document.workers);
+  if (this->hooks) {
+    SetResources(&this->ledger, catalog->document, this->hooks->data_centre,
+                 this->loop->Now());
+  } else {
+    SetWorkers(&this->ledger, catalog->document.workers);
+  }
   this->ForgetChangedWorkers(*catalog);
   this->catalog = catalog;
   this->workers.SetCatalog(std::move(catalog));
@@ -97,7 +103,37 @@
   }
 }
 
+std::vector<WaitingDemand> JobRunner::WaitingDemands() const {
+  return ListWaiting(this->queue, internal::kMaxDemands,
+                     internal::kMaxDemandTasks);
+}
+
+bool JobRunner::HasFreeWorker(const Placement& placement) {
+  // An empty name is no team's, so no quota is needed.
+  const auto held = this->Acquire("", placement, /*idempotent=*/true);
+  if (held) ReleaseUnits(&this->ledger, *held);
+  return held.has_value();
+}
+
+std::optional<Failure> JobRunner::RefuseForeignPlace(
+    const JobSpec& spec) const {
+  if (!this->hooks || this->catalog == nullptr) return std::nullopt;
+  const Placement placement{spec.request.demand, spec.request.places};
+  for (const WorkerSpec& worker : this->catalog->document.workers) {
+    if (worker.data_centre == this->hooks->data_centre &&
+        AllowsPlace(placement, worker) && UnitsFor(worker, placement.demand)) {
+      return std::nullopt;
+    }
+  }
+  return Failure{Verdict::kNotRun, Reason::kNeverFits, RetryAdvice::kNewSession,
+                 std::nullopt,
+                 fmt::format("this daemon starts tasks in data centre {} only, "
+                             "and no worker there can take the job",
+                             this->hooks->data_centre)};
+}
+
 std::optional<Failure> JobRunner::CheckAdmission(const JobSpec& spec) {
+  if (auto failure = this->RefuseForeignPlace(spec)) return failure;
   // Tasks that wait for a particular kind of worker must not keep out a job for
   // which a worker is free.
   const auto free =
@@ -168,6 +204,12 @@
 }
 
 void JobRunner::Dispatch() {
+  if (this->hooks) this->hooks->before_dispatch();
+  this->StartWaitingTasks();
+  if (this->hooks) this->hooks->after_dispatch();
+}
+
+void JobRunner::StartWaitingTasks() {
   while (this->queue.waiting > 0) {
     std::optional<HeldUnits> held;
     const auto task = TakeNext(
@@ -196,6 +238,7 @@
 std::optional<HeldUnits> JobRunner::Acquire(const std::string& team,
                                             const Placement& placement,
                                             bool idempotent) {
+  if (this->hooks && !this->hooks->may_start()) return std::nullopt;
   const TimePoint now = this->loop->Now();
   return AcquireUnits(
       &this->ledger, team, placement, now, [&](const std::string& worker) {
@@ -265,7 +308,7 @@
 void JobRunner::ReleaseUnitsOf(const SentTask& sent,
                                const TaskOutcome& outcome) {
   if (outcome.kind == TaskOutcome::Kind::kUnknown) {
-    this->ReleaseAt(sent.held, sent.lease_end + internal::kLeaseMargin);
+    this->ReleaseAt(sent.held, sent.lease_end + kTaskLeaseMargin);
     return;
   }
   if (outcome.kind == TaskOutcome::Kind::kFailed &&
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -98,6 +98,70 @@
   exec 8<&- 8>&-
 }
 
+# store_control JSON: switches a fault of the fake store or sets its VM list.
+store_control() {
+  exec 7<>"/dev/tcp/127.0.0.1/$store_port"
+  printf 'POST /control HTTP/1.1\r\nhost: localhost\r\nconnection: close\r\ncontent-length: %d\r\n\r\n%s' "${#1}" "$1" >&7
+  grep -q '200 OK' <&7
+  local status=$?
+  exec 7<&- 7>&-
+  return "$status"
+}
+
+# record_starts: starts the fake workers again with a record of their starts in
+# $run_dir/starts; each line has a port and a task id, which begins with the VM.
+record_starts() {
+  kill -9 "$(pid_of workers)"
+  start workers "$build/packages/fakes/fake_worker" --first-port "$worker_port" --count "$1" --record "$run_dir/starts"
+}
+
+# list_vms STATE VM...: sets the state of VMs of the data centre heredia in the
+# platform's list.
+list_vms() {
+  local state=$1 vm entries=""
+  shift
+  for vm in "$@"; do
+    entries+="${entries:+,}{\"data_centre\":\"heredia\",\"vm\":\"$vm\",\"address\":\"127.0.0.1\",\"state\":\"$state\"}"
+  done
+  store_control "{\"vms\":[$entries]}"
+}
+
+# wait_members COUNT NAME...: waits until the latest roster of each daemon has so
+# many members.
+wait_members() {
+  local count=$1 name
+  shift
+  for name in "$@"; do
+    wait_until 15 has_members "$count" "$name" || return 1
+  done
+}
+
+has_members() { grep ' roster ' "$run_dir/$2.log" | tail -n 1 | grep -q "members=$1\b"; }
+
+# mean_running SECONDS: prints the mean number of running tasks of all fake
+# workers, from a sample every 0.1 s.
+mean_running() {
+  for _ in $(seq $(($1 * 10))); do
+    worker_stat running
+    sleep 0.1
+  done | awk '{ sum += $1 } END { printf "%d\n", sum / NR }'
+}
+
+# heavy_load SECONDS PORT...: sends about 1.5 times the work that 4 workers can do.
+heavy_load() {
+  local seconds=$1 port endpoints=()
+  shift
+  for port in "$@"; do endpoints+=(--endpoint "127.0.0.1:$port"); done
+  sequoiapath load "${endpoints[@]}" --service check --team clerks --rate 20 --tasks 8 --run-ms 300 --duration "$seconds"
+}
+
+# expect_limits: checks that no worker ever got more tasks than it has slots.
+expect_limits() {
+  expect "greatest number of running tasks per worker" "$(worker_stat greatest_running_per_worker)" -le 8
+  expect "starts over the limit" "$(worker_stat over_limit_starts)" = 0
+  expect "tasks started twice" "$(worker_stat duplicate_starts)" = 0
+}
+
 # write_job FILE SERVICE TASKS RUN_MS [EXTRA_JSON]: writes a job whose tasks carry
 # distinct values.
 write_job() {
--- a/tests/fuzz/peer_message_test.cc
+++ b/tests/fuzz/peer_message_test.cc
@@ -76,7 +76,10 @@
                                 {2, 1},
                                 std::chrono::milliseconds(2000)}},
                               {3, 4},
-                              std::chrono::milliseconds(2000)});
+                              std::chrono::milliseconds(2000),
+                              {5, 1},
+                              6,
+                              {7, 0}});
   ExpectRoundTrip(ReturnReply{});
 }
 
--- /dev/null
+++ b/tests/process/daemon_killed.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# Guards the hand-over of a lost VM's workers: after a daemon was killed and its VM
+# left the platform's list, the others use all workers again, and no worker ever
+# gets more tasks than it has slots.
+set -uo pipefail
+source "$(dirname "$0")/../../scripts/lib.sh"
+
+start_platform 24200 heredia:4
+record_starts 4
+list_vms live vm-1 vm-2 vm-3
+start_daemon vm-1 heredia 24210 "$store_port" 24221 24231
+start_daemon vm-2 heredia 24220 "$store_port" 24211 24231
+start_daemon vm-3 heredia 24230 "$store_port" 24211 24221
+wait_ready 24210 24220 24230
+wait_members 3 vm-1 vm-2 vm-3 || failures=1
+
+heavy_load 24 24210 24220 >"$run_dir/load.txt" &
+load=$!
+sleep 2
+kill -9 "$(pid_of vm-3)"
+list_vms absent vm-3
+removed=$(date +%s%3N)
+# The bound is 2 s to read the list, 2 s loan, 5.5 s longest task lease, 2 s to
+# read the list again, and 1 s for the roster and the heartbeats.
+wait_members 2 vm-1 vm-2 || failures=1
+ports() { tail -n 100 "$run_dir/starts" | awk '{print $1}' | sort -u | wc -l; }
+all_used() { [ "$(ports)" = 4 ]; }
+sleep 1
+wait_until 15 all_used || failures=1
+elapsed=$(($(date +%s%3N) - removed))
+expect "ms until all workers are used again" "$elapsed" -le 13500
+expect "mean of running tasks of the two others" "$(mean_running 2)" -ge 24
+wait "$load"
+expect_limits
+finish
--- /dev/null
+++ b/tests/process/shares_under_load.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# Guards the sum over all daemons: three daemons under heavy load never give a
+# worker more tasks than it has slots, and a daemon with all the load gets the idle
+# units of the others.
+set -uo pipefail
+source "$(dirname "$0")/../../scripts/lib.sh"
+
+start_platform 24000 heredia:4
+record_starts 4
+start_daemon vm-1 heredia 24010 "$store_port" 24021 24031
+start_daemon vm-2 heredia 24020 "$store_port" 24011 24031
+start_daemon vm-3 heredia 24030 "$store_port" 24011 24021
+wait_ready 24010 24020 24030
+wait_members 3 vm-1 vm-2 vm-3 || failures=1
+
+heavy_load 5 24010 24020 24030 >"$run_dir/even.txt"
+expect_answer "jobs complete under even load" "$run_dir/even.txt" 'complete [1-9][0-9]* failed 0 '
+expect_limits
+for port in 24010 24020 24030; do
+  heavy_load 5 "$port" >"$run_dir/skewed.txt" &
+  load=$!
+  sleep 2
+  # 32 slots; a third is 10.7, and whole workers give a daemon at most 16 of them.
+  expect "mean of running tasks with all load on port $port" "$(mean_running 2)" -ge 24
+  wait "$load"
+  expect_answer "jobs complete under skewed load" "$run_dir/skewed.txt" 'complete [1-9][0-9]* failed 0 '
+done
+expect_limits
+finish
--- /dev/null
+++ b/tests/process/store_down.sh
@@ -0,0 +1,33 @@
+#!/usr/bin/env bash
+# Guards the frozen roster: while the store is down for 10 s and one daemon is
+# killed, the others go on within the limits, and afterwards the workers of the
+# lost VM are used again.
+set -uo pipefail
+source "$(dirname "$0")/../../scripts/lib.sh"
+
+start_platform 24600 heredia:4
+record_starts 4
+list_vms live vm-1 vm-2 vm-3
+start_daemon vm-1 heredia 24610 "$store_port" 24621 24631
+start_daemon vm-2 heredia 24620 "$store_port" 24611 24631
+start_daemon vm-3 heredia 24630 "$store_port" 24611 24621
+wait_ready 24610 24620 24630
+wait_members 3 vm-1 vm-2 vm-3 || failures=1
+
+heavy_load 14 24610 24620 >"$run_dir/load.txt" &
+load=$!
+sleep 2
+store_control '{"down": true}'
+sleep 2
+kill -9 "$(pid_of vm-3)"
+sleep 4
+before=$(worker_stat starts)
+sleep 4
+expect "starts in 4 s of the outage" "$(($(worker_stat starts) - before))" -ge 100
+store_control '{"down": false}'
+list_vms absent vm-3
+wait "$load"
+expect_answer "jobs complete" "$run_dir/load.txt" 'complete [1-9]'
+wait_members 2 vm-1 vm-2 || failures=1
+expect_limits
+finish
