Accept whole numbers of cores in peer messages

Cause: msgpack packs a double without a fraction as an integer, and the decoder refused integers, so every Borrow message without a fractional demand of cores was refused. Change: the decoder takes integers for doubles; a test sends whole and fractional numbers.

--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -201,7 +201,16 @@
   return false;
 }
 
+// The library packs a double without a fraction as an integer.
 bool UnpackDouble(const msgpack::object& object, double* out) {
+  if (object.type == msgpack::type::POSITIVE_INTEGER) {
+    *out = static_cast<double>(object.via.u64);
+    return true;
+  }
+  if (object.type == msgpack::type::NEGATIVE_INTEGER) {
+    *out = static_cast<double>(object.via.i64);
+    return true;
+  }
   if (object.type != msgpack::type::FLOAT64 &&
       object.type != msgpack::type::FLOAT32) {
     return false;
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -136,7 +136,7 @@
   done
 }
 
-has_members() { grep ' roster ' "$run_dir/$2.log" | tail -n 1 | grep -q "members=$1\b"; }
+has_members() { grep ' event=roster ' "$run_dir/$2.log" | tail -n 1 | grep -q "members=$1\b"; }
 
 # mean_running SECONDS: prints the mean number of running tasks of all fake
 # workers, from a sample every 0.1 s.
--- a/tests/fuzz/peer_message_test.cc
+++ b/tests/fuzz/peer_message_test.cc
@@ -83,6 +83,18 @@
   ExpectRoundTrip(ReturnReply{});
 }
 
+// Guards loans: whole numbers of cores were packed as integers and refused.
+TEST(PeerMessageFuzz, WholeNumberOfCoresSurvives) {
+  for (const double cores : {0.0, 1.0, 16.0, 0.25}) {
+    Borrow borrow;
+    borrow.borrower = Member(5);
+    borrow.demands = {{{cores, 0, 0}, {}, 40, "clerks", 40}};
+    borrow.backlog = 40;
+    borrow.units = {8, 0};
+    ExpectRoundTrip(borrow);
+  }
+}
+
 TEST(PeerMessageFuzz, OptionalFailureSurvives) {
   const DelegateReply reply{
       {{3,
