--- /dev/null
+++ b/tests/correctness/share_ledger_test.cc
@@ -0,0 +1,33 @@
+// Guards lent units when a new configuration allows longer tasks.
+
+#include "sequoiapath/coordination/share_ledger.h"
+
+#include <gtest/gtest.h>
+
+namespace sequoiapath {
+namespace {
+
+using std::chrono::seconds;
+
+// A borrower may start a task of the longer lease at the end of a loan that was
+// granted before, so its units must not be taken back at the earlier time.
+TEST(ShareLedgerTest, LongerTaskLeaseHoldsLentUnitsLonger) {
+  const TimePoint begin{std::chrono::hours(1)};
+  Document document;
+  document.workers.resize(1);
+  document.workers[0].name = "w";
+  document.workers[0].data_centre = "d";
+  ShareLedger ledger;
+  BeginShares(&ledger, "a", {seconds(2), seconds(10)}, 1, false, begin);
+  SetResources(&ledger, document, "d", begin);
+  SetRoster(&ledger, {1, {"a"}, {}}, begin);
+  ASSERT_EQ(LendUnits(&ledger, {"b", {{{}, 8, "", 0}}}, begin).size(), 1U);
+  ExtendLongestTaskLease(&ledger, seconds(30));
+  AdvanceShares(&ledger, begin + seconds(13));
+  EXPECT_EQ(UsableUnits(ledger).slots, 0);
+  AdvanceShares(&ledger, begin + seconds(32));
+  EXPECT_EQ(UsableUnits(ledger).slots, 8);
+}
+
+}  // namespace
+}  // namespace sequoiapath
--- a/tests/correctness/task_queue_test.cc
+++ b/tests/correctness/task_queue_test.cc
@@ -122,5 +122,21 @@
   EXPECT_FALSE(TakeNext(&queue, AcceptAll).has_value());
 }
 
+// A VM must ask for what its waiting tasks need, at a bounded cost.
+TEST(TaskQueueTest, WaitingTasksAreListedByTeamAndBounded) {
+  TaskQueue queue;
+  Add(&queue, 1, "a", 1, Priority::kNormal, 5);
+  Add(&queue, 2, "a", 1, Priority::kNormal, 3);
+  Add(&queue, 3, "b", 1, Priority::kUrgent, 1000);
+  Add(&queue, 4, "b", 1, Priority::kUrgent, 1000);
+  const auto demands = ListWaiting(queue, 10, 500);
+  ASSERT_EQ(demands.size(), 2U);
+  EXPECT_EQ(demands[0].team, "b");
+  EXPECT_EQ(demands[0].tasks, 1000U);
+  EXPECT_EQ(demands[1].team, "a");
+  EXPECT_EQ(demands[1].tasks, 8U);
+  EXPECT_EQ(ListWaiting(queue, 1, 500).size(), 1U);
+}
+
 }  // namespace
 }  // namespace sequoiapath
