--- a/packages/state/src/daemon.cc
+++ b/packages/state/src/daemon.cc
@@ -19,6 +19,7 @@
 #include "sequoiapath/state/peer_service.h"
 #include "sequoiapath/state/session_handover.h"
 #include "sequoiapath/state/session_router.h"
+#include "sequoiapath/state/share_exchange.h"
 #include "sequoiapath/state/store_client.h"
 #include "sequoiapath/transport/http_server.h"
 
@@ -68,6 +69,7 @@
   bool abandoned = false;
   std::unique_ptr<Membership> membership;
   std::unique_ptr<ConfigKeeper> config_keeper;
+  std::unique_ptr<ShareExchange> exchange;
   std::unique_ptr<SessionRouter> router;
   std::unique_ptr<SessionHandover> handover;
   // Destroyed first, because ending its requests calls back into the others.
@@ -78,6 +80,7 @@
 
 void UseConfig(DaemonState* daemon, std::shared_ptr<const Catalog> catalog) {
   daemon->generation = catalog->generation;
+  daemon->exchange->SetCatalog(*catalog);
   daemon->runner.SetCatalog(catalog);
   daemon->caller_api.SetCatalog(catalog);
   daemon->catalog = std::move(catalog);
@@ -180,6 +183,14 @@
   return std::nullopt;
 }
 
+// Divides the workers among the daemons of the data centre.
+void StartExchange(DaemonState* daemon) {
+  daemon->exchange = std::make_unique<ShareExchange>(ShareExchangeParts{
+      daemon->loop, daemon->peers.get(), daemon->membership.get(),
+      &daemon->runner, &daemon->store});
+  daemon->exchange->Start();
+}
+
 void ReportLogPeriodically(DaemonState* daemon) {
   ReportSuppressedLines();
   daemon->loop->Schedule(kLogReportInterval,
@@ -215,15 +226,18 @@
   });
 }
 
-// Waits until jobs and requests have ended, hands the sessions over, and ends
-// the loop once the succession is known.
+// Waits until jobs and requests have ended, hands the sessions over and
+// releases the workers, and ends the loop once both are known to the others.
 void PollStop(DaemonState* daemon, TimePoint give_up) {
   if (daemon->abandoned) return;
   if (daemon->loop->Now() >= give_up) return AbandonStop(daemon);
   const bool drained =
       daemon->runner.RunningJobs() == 0 && PendingRequests(*daemon) == 0;
-  if (drained) daemon->handover->Start();
-  if (drained && daemon->handover->IsDone()) {
+  if (drained) {
+    daemon->handover->Start();
+    daemon->exchange->BeginStop();
+  }
+  if (drained && daemon->handover->IsDone() && daemon->exchange->IsReleased()) {
     Log(LogLevel::kInfo, "stopped", {{"drained", true}});
     daemon->loop->RequestStop();
     return;
@@ -275,6 +289,7 @@
   if (auto error = internal::StartPeers(daemon)) return *std::move(error);
   internal::KeepConfig(daemon);
   internal::RouteSessions(daemon);
+  internal::StartExchange(daemon);
   if (auto error = internal::ServeOperators(daemon)) return *std::move(error);
   internal::ReportLogPeriodically(daemon);
   daemon->membership->Start();
--- a/tests/fuzz/peer_message_test.cc
+++ b/tests/fuzz/peer_message_test.cc
@@ -79,10 +79,25 @@
                                 {2, 1},
                                 std::chrono::milliseconds(2000)}},
                               {3, 4},
-                              std::chrono::milliseconds(2000)});
+                              std::chrono::milliseconds(2000),
+                              {5, 1},
+                              6,
+                              {7, 0}});
   ExpectRoundTrip(ReturnReply{});
 }
 
+// Guards loans: whole numbers of cores were packed as integers and refused.
+TEST(PeerMessageFuzz, WholeNumberOfCoresSurvives) {
+  for (const double cores : {0.0, 1.0, 16.0, 0.25}) {
+    Borrow borrow;
+    borrow.borrower = Member(5);
+    borrow.demands = {{{cores, 0, 0}, {}, 40, "clerks", 40}};
+    borrow.backlog = 40;
+    borrow.units = {8, 0};
+    ExpectRoundTrip(borrow);
+  }
+}
+
 TEST(PeerMessageFuzz, OptionalFailureSurvives) {
   const DelegateReply reply{
       {{3,
