--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -10,16 +10,32 @@
 store=18379
 start store "$build/packages/fakes/fake_store" --port $store
 start workers "$build/packages/fakes/fake_worker" --first-port 19000 --count 50
-sleep 0.3
-"$build/packages/cli/sequoiapath" apply --store 127.0.0.1:$store examples/instituto.toml
-start_daemon san-jose-1 san-jose 18100 $store
-start_daemon heredia-1 heredia 18110 $store
-wait_ready 18100 18110
+worker_port=19000
+wait_until 5 sequoiapath apply --store 127.0.0.1:$store examples/instituto.toml >"$run_dir/apply.txt" 2>/dev/null
+tail -n 1 "$run_dir/apply.txt"
+
+# Eight entry VMs in three data centres, as the users run today.
+ports=()
+port=18100
+for name in san-jose-1 san-jose-2 san-jose-3 heredia-1 heredia-2 heredia-3 cartago-1 cartago-2; do
+  start_daemon $name "${name%-*}" $port $store 18101
+  ports+=($port)
+  port=$((port + 10))
+done
+wait_ready "${ports[@]}"
+sleep 6 # The daemons of a data centre divide its workers.
 
 tasks=$(for i in $(seq 480); do echo "{\"label\": $i, \"run_ms\": $((50 + i % 150))}"; done | paste -sd,)
 echo "{\"service\": \"label-check\", \"tasks\": [$tasks]}" >"$run_dir/job.json"
 begin=$(date +%s%N)
-"$build/packages/cli/sequoiapath" submit --endpoint 127.0.0.1:18100 --team depot-clerks "$run_dir/job.json" >"$run_dir/answer.json"
+sequoiapath submit --endpoint 127.0.0.1:18100 --team depot-clerks "$run_dir/job.json" >"$run_dir/answer.json"
 end=$(date +%s%N)
-cut -c1-200 "$run_dir/answer.json"
-echo "answer: $(wc -c <"$run_dir/answer.json") bytes after $(((end - begin) / 1000000)) ms"
+cut -c1-120 "$run_dir/answer.json"
+echo "one job of 480 tasks: $(wc -c <"$run_dir/answer.json") bytes after $(((end - begin) / 1000000)) ms;" \
+  "starts $(worker_stat starts), started twice $(worker_stat duplicate_starts)," \
+  "most tasks at once on a worker $(worker_stat greatest_running_per_worker)"
+
+echo "10 s of load on two data centres:"
+sequoiapath load --endpoint 127.0.0.1:18100 --endpoint 127.0.0.1:18130 --team depot-clerks \
+  --service label-check --rate 20 --tasks 40 --duration 10
+echo "started twice $(worker_stat duplicate_starts), starts over a worker's slots $(worker_stat over_limit_starts)"
--- a/tests/process/planned_stop.sh
+++ b/tests/process/planned_stop.sh
@@ -25,14 +25,20 @@
 expect "exit code of the daemon" $? = 0
 expect "starts" "$(worker_stat starts)" = 16
 
+# started_more_than N: says whether the workers have started more than N tasks.
+started_more_than() { [ "$(worker_stat starts)" -gt "$1" ]; }
+
 # stop_during_job NAME: submits a job of 3 s in a new process of vm-1 and sends a
-# signal while it runs.
+# signal while it runs. A restarted process starts tasks only after the hold-down,
+# so the signal waits for the first start.
 stop_during_job() {
+  local starts
   wait_ready 21210
+  starts=$(worker_stat starts)
   session=$(sequoiapath session --endpoint 127.0.0.1:21210 --team clerks)
   sequoiapath submit --endpoint 127.0.0.1:21210 --session "$session" "$run_dir/long.json" >"$run_dir/$1.json" &
   submission=$!
-  sleep 0.3
+  wait_until 15 started_more_than "$starts"
   kill -TERM "$(pid_of vm-1)"
 }
 write_job "$run_dir/long.json" post 4 3000
