--- a/bench/state_memory.cc
+++ b/bench/state_memory.cc
@@ -120,7 +120,11 @@
       "data-centre-00", VmName(1), {"10.1.1.1", 7000}, ~std::uint64_t{0}};
   heartbeat.config_generation = 1000000;
   heartbeat.config_digest = std::string(64, 'a');
-  heartbeat.shares = {1764825000000000, 1000, false, {}, {100, 100}, {}, 1000, 1000};
+  heartbeat.shares.sequence = 1764825000000000;
+  heartbeat.shares.roster_epoch = 1000;
+  heartbeat.shares.free = {100, 100};
+  heartbeat.shares.backlog = 1000;
+  heartbeat.shares.units = {1000, 1000};
   fmt::print("{:<38} {:>12}\n", "heartbeat",
              EncodePeerMessage(heartbeat).size());
   for (int i = 0; i < 170; ++i) {
