Divide a worker's connections among the daemons

Cause: each daemon kept up to the document's 64 connections to a worker by itself, idle ones for 5 s, so 8 daemons could exceed the limit of 64 together.

Change: a daemon's limit is the worker's connections divided by the VMs of the roster, and at least its slots. HttpClient::SetMaxConnections closes what exceeds a lowered limit. A released daemon waits for two heartbeats of the new interval.

Conclusion: with up to 8 VMs in a data centre the sum stays within 64; beyond that, and for about 2 s while a ninth VM borrows before it is in the roster, it may not. Not shown with real connections yet.

--- a/packages/state/include/sequoiapath/state/job_runner.h
+++ b/packages/state/include/sequoiapath/state/job_runner.h
@@ -83,6 +83,11 @@
   // Returns the account of units. Call WakeUp after units were added to it.
   ShareLedger* Ledger() { return &this->ledger; }
 
+  // Divides the workers' connections; see WorkerPool::ShareConnections.
+  void ShareConnections(std::size_t daemons) {
+    this->workers.ShareConnections(daemons);
+  }
+
   // Starts waiting tasks soon, and calls the hooks.
   void WakeUp() { this->ScheduleDispatch(); }
 
--- a/packages/state/include/sequoiapath/state/worker_pool.h
+++ b/packages/state/include/sequoiapath/state/worker_pool.h
@@ -33,6 +33,11 @@
   // changed or that were removed are dropped once their requests have ended.
   void SetCatalog(std::shared_ptr<const Catalog> catalog);
 
+  // Divides each worker's connections among `daemons` daemons, so that the sum
+  // over all of them stays within the worker's limit.
+  // Precondition: `daemons` is at least 1.
+  void ShareConnections(std::size_t daemons);
+
   // Sends a task and calls `callback` exactly once, never before StartTask
   // returns. After `timeout` the outcome is unknown.
   void StartTask(const std::string& worker, TaskStart start, Duration timeout,
@@ -45,6 +50,7 @@
   void StopTask(const std::string& worker, const std::string& task_id);
 
  private:
+  std::size_t ConnectionLimit(const WorkerSpec& worker) const;
   // Returns the client of `worker`, or null if the catalog lacks the worker.
   HttpClient* ClientOf(const std::string& worker);
   void DropRetiredClients();
@@ -57,6 +63,7 @@
 
   EventLoop* loop;
   std::shared_ptr<const Catalog> catalog;
+  std::size_t sharing_daemons = 1;
   std::unordered_map<std::string, std::unique_ptr<HttpClient>> clients;
   std::vector<std::unique_ptr<HttpClient>> retired;
   std::function<void()> on_recovered;
--- a/packages/state/src/share_exchange.cc
+++ b/packages/state/src/share_exchange.cc
@@ -24,11 +24,18 @@
 // a VM, so it must not go on alone.
 constexpr auto kIsolationLimit = std::chrono::seconds(5);
 // Two heartbeats, so that the others have seen that nothing is owned.
-constexpr auto kReleaseNotice = std::chrono::milliseconds(500);
+constexpr auto kReleaseNotice = std::chrono::seconds(1);
 // A planned stop does not wait longer for a new roster, e.g. while the store is
 // down; the others take the units over after the hold-down time then.
 constexpr auto kReleaseTimeout = std::chrono::seconds(3);
 
+// Returns the number of VMs that may have connections to the workers.
+std::size_t CountSharers(const Roster& roster, const std::string& self) {
+  const bool listed = std::find(roster.members.begin(), roster.members.end(),
+                                self) != roster.members.end();
+  return roster.members.size() + roster.former.size() + (listed ? 0 : 1);
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -145,6 +152,8 @@
   }
   if (roster.epoch <= this->ledger->roster.epoch) return;
   SetRoster(this->ledger, roster, this->loop->Now());
+  this->runner->ShareConnections(
+      internal::CountSharers(roster, this->membership->self().vm));
   Log(LogLevel::kInfo, "roster",
       {{"epoch", roster.epoch}, {"members", roster.members.size()}});
   this->runner->WakeUp();
--- a/packages/state/src/worker_pool.cc
+++ b/packages/state/src/worker_pool.cc
@@ -28,6 +28,7 @@
   for (auto it = this->clients.begin(); it != this->clients.end();) {
     const WorkerSpec* worker = FindWorker(*this->catalog, it->first);
     if (worker != nullptr && worker->address == it->second->endpoint()) {
+      it->second->SetMaxConnections(this->ConnectionLimit(*worker));
       ++it;
       continue;
     }
@@ -122,6 +123,24 @@
                [](const HttpResult&) {});
 }
 
+void WorkerPool::ShareConnections(std::size_t daemons) {
+  this->sharing_daemons = daemons;
+  for (const auto& [name, client] : this->clients) {
+    const WorkerSpec* worker = FindWorker(*this->catalog, name);
+    if (worker != nullptr) {
+      client->SetMaxConnections(this->ConnectionLimit(*worker));
+    }
+  }
+}
+
+// A daemon may hold all slots of a worker, so it gets at least as many
+// connections.
+std::size_t WorkerPool::ConnectionLimit(const WorkerSpec& worker) const {
+  return std::max(
+      static_cast<std::size_t>(worker.slots),
+      static_cast<std::size_t>(worker.connections) / this->sharing_daemons);
+}
+
 HttpClient* WorkerPool::ClientOf(const std::string& worker) {
   const auto it = this->clients.find(worker);
   if (it != this->clients.end()) return it->second.get();
@@ -129,7 +148,7 @@
   const WorkerSpec* spec = FindWorker(*this->catalog, worker);
   if (spec == nullptr) return nullptr;
   auto client = HttpClientBuilder(this->loop, spec->address)
-                    .MaxConnections(static_cast<std::size_t>(spec->connections))
+                    .MaxConnections(this->ConnectionLimit(*spec))
                     .Build();
   return (this->clients[worker] = std::move(client)).get();
 }
--- a/packages/transport/include/sequoiapath/transport/http_client.h
+++ b/packages/transport/include/sequoiapath/transport/http_client.h
@@ -78,6 +78,10 @@
   // closed. Has no effect on a finished request.
   void Cancel(HttpRequestId id);
 
+  // Changes the largest number of connections. Idle ones beyond it are closed;
+  // busy ones are closed when their requests end.
+  void SetMaxConnections(std::size_t count);
+
   // Closes all idle connections.
   void CloseIdleConnections();
 
--- a/packages/transport/src/http_client.cc
+++ b/packages/transport/src/http_client.cc
@@ -146,7 +146,9 @@
   client->loop->Cancel(owned->timeout_timer);
   client->loop->Cancel(owned->connect_timer);
   --client->busy;
-  if (reusable) {
+  const bool within_limit =
+      client->busy + client->idle.size() < client->max_connections;
+  if (reusable && within_limit) {
     KeepIdle(client, std::move(owned->connection));
   } else {
     // Disposal is deferred because h2o still uses the pool in this callback.
@@ -366,6 +368,15 @@
                   "cancelled by the caller");
 }
 
+void HttpClient::SetMaxConnections(std::size_t count) {
+  internal::HttpClientState* client = this->state.get();
+  client->max_connections = count;
+  while (!client->idle.empty() && client->busy + client->idle.size() > count) {
+    internal::CloseConnection(std::move(client->idle.back()));
+    client->idle.pop_back();
+  }
+}
+
 void HttpClient::CloseIdleConnections() {
   while (!this->state->idle.empty()) {
     internal::CloseConnection(std::move(this->state->idle.front()));
--- a/tests/error/http_client_test.cc
+++ b/tests/error/http_client_test.cc
@@ -4,6 +4,7 @@
 #include "sequoiapath/transport/http_client.h"
 
 #include <optional>
+#include <vector>
 
 #include "loop_testing.h"
 #include "raw_listener.h"
@@ -32,5 +33,36 @@
   EXPECT_TRUE(reset);
 }
 
+// Several daemons share a worker's connections; one that keeps more than its
+// part would push the sum over the worker's limit.
+TEST(HttpClientErrorTest, LoweredLimitClosesConnections) {
+  EventLoop loop;
+  std::vector<HttpResponder> held;
+  const auto server = StartServer(
+      &loop, [&](const HttpRequest&, const HttpResponder& responder) {
+        held.push_back(responder);
+      });
+  const auto client =
+      HttpClientBuilder(&loop, server->endpoint()).MaxConnections(8).Build();
+  int answered = 0;
+  const auto send = [&] {
+    client->Send({"GET", "/", {}, "", ""}, std::chrono::seconds(5),
+                 [&](const HttpResult&) { ++answered; });
+  };
+  for (int i = 0; i < 6; ++i) send();
+  ASSERT_TRUE(RunUntil(&loop, [&] { return held.size() == 6; }));
+  for (int i = 0; i < 3; ++i) held[i].Respond({200, {}, "x"});
+  ASSERT_TRUE(RunUntil(&loop, [&] { return answered == 3; }));
+  EXPECT_EQ(client->IdleConnections(), 3u);
+  client->SetMaxConnections(4);
+  EXPECT_EQ(client->BusyConnections(), 3u);
+  EXPECT_EQ(client->IdleConnections(), 1u);
+  client->SetMaxConnections(2);
+  for (int i = 3; i < 6; ++i) held[i].Respond({200, {}, "x"});
+  ASSERT_TRUE(RunUntil(&loop, [&] { return answered == 6; }));
+  EXPECT_EQ(client->BusyConnections(), 0u);
+  EXPECT_LE(client->IdleConnections(), 2u);
+}
+
 }  // namespace
 }  // namespace sequoiapath
