Compare the announced part of digests on both sides

Cause: since heartbeats carry 16 characters of the digest, a peer that announces the whole digest was compared with a part, so an invalid document was pulled again with each heartbeat.

Change: the received digest is cut to the announced length before it is compared.

Conclusion: the test was right; the code is fixed.

--- a/packages/state/include/sequoiapath/state/config_keeper.h
+++ b/packages/state/include/sequoiapath/state/config_keeper.h
@@ -54,7 +54,7 @@
   void StartWatch();
   void StopWatch();
   void NoteAnnouncement(const std::string& vm, std::uint64_t generation,
-                        const std::string& digest);
+                        const std::string& announced);
   void PullIfBehind();
   void OnPulled(const std::string& vm, const Result<ConfigPullReply>& result);
   // Returns whether the reply could be read and its patches fit.
--- a/packages/state/src/config_keeper.cc
+++ b/packages/state/src/config_keeper.cc
@@ -221,7 +221,8 @@
 
 void ConfigKeeper::NoteAnnouncement(const std::string& vm,
                                     std::uint64_t generation,
-                                    const std::string& digest) {
+                                    const std::string& announced) {
+  const std::string digest = internal::AnnouncedDigest(announced);
   if (generation > 0 && generation == this->Generation() &&
       digest != internal::AnnouncedDigest(this->spread.current->digest) &&
       digest != this->contradicting_digest) {
