Wait for a killed process before its ports are used again

The fake workers had ended at their start: "cannot listen on 127.0.0.1:23940: Address already in use". The test kills the workers of start_platform and starts others on the same ports without waiting for the end of the first; two more tests did the same.

Ruled out: the daemons; all their answers in that run were refusals of jobs that had not started.

Change: kill_and_wait in scripts/lib.sh, used by the three tests. No check changed.

Conclusion: a fault of the tests, not of the program.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -253,3 +253,12 @@
   fi
   exit 0
 }
+
+# kill_and_wait NAME: kills a process and waits for its end, so that its ports are
+# free for the next one.
+kill_and_wait() {
+  local pid
+  pid=$(pid_of "$1")
+  kill -9 "$pid"
+  wait "$pid" 2>/dev/null || true
+}
--- a/tests/process/leaving_worker.sh
+++ b/tests/process/leaving_worker.sh
@@ -6,7 +6,7 @@
 source "$(dirname "$0")/../../scripts/lib.sh"
 
 start_platform 21600 heredia:4
-kill -9 "$(pid_of workers)"
+kill_and_wait workers
 start workers "$build/packages/fakes/fake_worker" --first-port "$worker_port" --count 4 --record "$run_dir/starts"
 start_daemon vm-2 heredia 21610 "$store_port"
 start_daemon vm-3 heredia 21620 "$store_port" 21611
--- a/tests/process/random_faults.sh
+++ b/tests/process/random_faults.sh
@@ -139,7 +139,7 @@
 
 kills=0 pauses=0 stops=0
 start_platform $((base + 40)) heredia:2 limon:2
-kill -9 "$(pid_of workers)"
+kill_and_wait workers
 start workers-2 "$build/packages/fakes/fake_worker" --first-port "$worker_port" --count 4 --record "$run_dir/starts"
 for vm in 1 2 3; do start_vm "$vm"; done
 wait_ready "$(daemon_port 1)" "$(daemon_port 2)" "$(daemon_port 3)"
--- a/tests/process/worker_killed.sh
+++ b/tests/process/worker_killed.sh
@@ -6,7 +6,7 @@
 source "$(dirname "$0")/../../scripts/lib.sh"
 
 start_platform 21400 heredia:4
-kill -9 "$(pid_of workers)"
+kill_and_wait workers
 start workers-a "$build/packages/fakes/fake_worker" --first-port "$worker_port" --count 2 --record "$run_dir/starts-a"
 start workers-b "$build/packages/fakes/fake_worker" --first-port $((worker_port + 2)) --count 2 --record "$run_dir/starts-b"
 start_daemon vm-1 heredia 21410 "$store_port"
