--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -111,7 +111,7 @@
 # record_starts: starts the fake workers again with a record of their starts in
 # $run_dir/starts; each line has a port and a task id, which begins with the VM.
 record_starts() {
-  kill -9 "$(pid_of workers)"
+  kill_and_wait workers
   start workers "$build/packages/fakes/fake_worker" --first-port "$worker_port" --count "$1" --record "$run_dir/starts"
 }
 
--- a/tests/process/daemon_killed.sh
+++ b/tests/process/daemon_killed.sh
@@ -38,7 +38,7 @@
 heavy_load 6 24210 24220 >"$run_dir/load.txt" &
 load=$!
 sleep 1
-kill -9 "$(pid_of vm-3)"
+kill_and_wait vm-3
 start_daemon vm-3 heredia 24220 "$store_port" 24211 24231
 wait_ready 24220
 heavy_load 3 24220 >"$run_dir/restarted.txt"
