--- /dev/null
+++ b/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
@@ -0,0 +1,113 @@
+// Defines SchedulerElection, which decides which daemon schedules the tasks.
+//
+// One daemon schedules for all that can reach it. A group of daemons that is
+// cut off from the majority schedules on its home workers only, so that two
+// sides of a partition do not compete for the same workers. Workers reject
+// orders with an old fencing token, so a wrong view costs time, not safety.
+
+#ifndef SEQUOIAPATH_COORDINATION_SCHEDULER_ELECTION_H_
+#define SEQUOIAPATH_COORDINATION_SCHEDULER_ELECTION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sequoiapath/protocol/scheduler_message.h"
+#include "sequoiapath/protocol/worker_order.h"
+#include "sequoiapath/transport/endpoint.h"
+#include "sequoiapath/transport/event_loop.h"
+
+namespace sequoiapath {
+
+// A daemon as listed in the platform's store or named by a seed.
+struct ListedDaemon {
+  std::string vm;
+  std::string data_centre;
+  Endpoint endpoint;
+};
+
+struct ElectionTimes {
+  // A daemon that was not heard for this long is not live.
+  Duration silence = std::chrono::milliseconds(600);
+  // A daemon counts as a member for so long after it was last heard, if the
+  // store does not list it.
+  Duration memory = std::chrono::seconds(10);
+  // A new daemon waits so long for an existing scheduler to report.
+  Duration settle = std::chrono::milliseconds(900);
+  // After a step down a daemon does not claim for this long.
+  Duration step_down_pause = std::chrono::milliseconds(400);
+};
+
+struct ElectionPeer {
+  DaemonReport report;
+  TimePoint last_heard;
+  bool heard = false;   // Since the last failure of its connection.
+  bool listed = false;  // In the store's list.
+};
+
+enum class SchedulerRole {
+  kFollower,
+  kFull,     // Schedules on all workers.
+  kPartial,  // Schedules on the home workers of its group.
+};
+
+// Thread safety of all functions here: one thread at a time.
+struct SchedulerElection {
+  ElectionTimes times;
+  DaemonReport self;         // Its weight is zero until it may claim.
+  std::uint32_t weight = 0;  // Of this daemon once it may claim.
+  std::map<std::string, ElectionPeer> peers;  // By VM, without this one.
+  TimePoint started;
+  TimePoint no_claim_before;
+  SchedulerRole role = SchedulerRole::kFollower;
+  std::string leader;  // VM; empty if none is known.
+};
+
+// What changed in a turn of the election.
+struct ElectionChange {
+  bool role_changed = false;
+  bool leader_changed = false;
+};
+
+// Sets the list of the store; daemons that it does not name and that were not
+// heard lately are forgotten at the next turn.
+void SetListedDaemons(SchedulerElection* election,
+                      const std::vector<ListedDaemon>& listed);
+
+// Records a heartbeat or a reply to one.
+void RecordReport(SchedulerElection* election, const DaemonReport& report,
+                  TimePoint now);
+
+// Records that a daemon's connection was refused or reset: its process ended.
+void RecordDaemonFailure(SchedulerElection* election, const std::string& vm);
+
+// Says whether a daemon is live.
+bool IsLive(const SchedulerElection& election, const std::string& vm,
+            TimePoint now);
+
+// Decides the role of this daemon and its leader. `wall_clock` makes the
+// fencing token of a new claim. Call it after reports and every 50 ms.
+ElectionChange RunElection(SchedulerElection* election, TimePoint now,
+                           std::chrono::milliseconds wall_clock);
+
+// Gives up the claim of this daemon, for example before a planned stop.
+void StepDown(SchedulerElection* election, TimePoint now);
+
+// Says whether the worker's home daemon is in this daemon's live group. The
+// home is chosen among all members, those of the worker's data centre first.
+bool IsHomeWorker(const SchedulerElection& election, const std::string& worker,
+                  const std::string& data_centre, TimePoint now);
+
+// Returns a fencing token that is unique to this daemon and grows with time.
+FencingToken MakeFence(std::chrono::milliseconds wall_clock,
+                       const std::string& vm, std::uint64_t incarnation);
+
+// Returns a token of the same daemon that is above `fence` by `step`.
+FencingToken RaiseFence(FencingToken fence, std::chrono::milliseconds step);
+
+}  // namespace sequoiapath
+
+#endif  // SEQUOIAPATH_COORDINATION_SCHEDULER_ELECTION_H_
--- /dev/null
+++ b/packages/coordination/src/scheduler_election.cc
@@ -0,0 +1,261 @@
+#include "sequoiapath/coordination/scheduler_election.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+// The low bits of a fencing token tell daemons apart that claim in the same
+// millisecond. Together with 41 bits of time a token stays below 2^53, so that
+// it survives readers that keep numbers as doubles.
+constexpr unsigned kFenceDaemonBits = 11;
+
+std::uint64_t Hash(std::string_view text, std::uint64_t seed) {
+  return XXH64(text.data(), text.size(), seed);
+}
+
+bool IsLivePeer(const SchedulerElection& election, const ElectionPeer& peer,
+                TimePoint now) {
+  return peer.heard && !peer.report.stopping &&
+         now - peer.last_heard < election.times.silence;
+}
+
+bool IsMember(const SchedulerElection& election, const ElectionPeer& peer,
+              TimePoint now) {
+  if (peer.listed) return true;
+  return peer.last_heard != TimePoint{} &&
+         now - peer.last_heard < election.times.memory;
+}
+
+std::size_t CountMembers(const SchedulerElection& election, TimePoint now) {
+  return 1 + static_cast<std::size_t>(
+                 std::count_if(election.peers.begin(), election.peers.end(),
+                               [&](const auto& entry) {
+                                 return IsMember(election, entry.second, now);
+                               }));
+}
+
+std::size_t CountLive(const SchedulerElection& election, TimePoint now) {
+  return 1 + static_cast<std::size_t>(
+                 std::count_if(election.peers.begin(), election.peers.end(),
+                               [&](const auto& entry) {
+                                 return IsLivePeer(election, entry.second, now);
+                               }));
+}
+
+bool HasMajority(const SchedulerElection& election, TimePoint now) {
+  return 2 * CountLive(election, now) > CountMembers(election, now);
+}
+
+// Orders claims: a scheduler of the majority goes first, then the later claim.
+std::tuple<bool, FencingToken> ClaimRank(const DaemonReport& report) {
+  return {!report.partial, report.claim};
+}
+
+// Returns the live peer whose claim goes first, or null.
+const DaemonReport* BestClaim(const SchedulerElection& election,
+                              TimePoint now) {
+  const DaemonReport* best = nullptr;
+  for (const auto& [vm, peer] : election.peers) {
+    if (peer.report.claim == 0 || !IsLivePeer(election, peer, now)) continue;
+    if (best == nullptr || ClaimRank(peer.report) > ClaimRank(*best)) {
+      best = &peer.report;
+    }
+  }
+  return best;
+}
+
+bool IsPreferred(const DaemonReport& a, const DaemonReport& b) {
+  if (a.weight != b.weight) return a.weight > b.weight;
+  return a.vm < b.vm;
+}
+
+// Says whether no live peer goes before this daemon in the order of succession.
+bool IsNextScheduler(const SchedulerElection& election, TimePoint now) {
+  return std::none_of(election.peers.begin(), election.peers.end(),
+                      [&](const auto& entry) {
+                        return IsLivePeer(election, entry.second, now) &&
+                               IsPreferred(entry.second.report, election.self);
+                      });
+}
+
+// A new daemon claims only once it had the time to hear of a scheduler, or has
+// heard every member.
+bool IsSettled(const SchedulerElection& election, TimePoint now) {
+  return now - election.started >= election.times.settle;
+}
+
+FencingToken HighestKnownFence(const SchedulerElection& election) {
+  FencingToken highest = election.self.highest_fence;
+  for (const auto& [vm, peer] : election.peers) {
+    highest = std::max({highest, peer.report.highest_fence, peer.report.claim});
+  }
+  return highest;
+}
+
+void Claim(SchedulerElection* election, TimePoint now,
+           std::chrono::milliseconds wall_clock) {
+  FencingToken fence =
+      MakeFence(wall_clock, election->self.vm, election->self.incarnation);
+  const FencingToken highest = HighestKnownFence(*election);
+  if (fence <= highest) {
+    const std::chrono::milliseconds known(highest >> kFenceDaemonBits);
+    fence = MakeFence(known + std::chrono::milliseconds(1), election->self.vm,
+                      election->self.incarnation);
+  }
+  election->self.claim = fence;
+  election->self.highest_fence = fence;
+  election->self.partial = !HasMajority(*election, now);
+  election->role =
+      election->self.partial ? SchedulerRole::kPartial : SchedulerRole::kFull;
+  election->leader = election->self.vm;
+}
+
+void Follow(SchedulerElection* election, const std::string& vm) {
+  election->self.claim = 0;
+  election->self.partial = false;
+  election->role = SchedulerRole::kFollower;
+  election->leader = vm;
+}
+
+// A scheduler keeps its claim but adapts its extent to its group.
+void AdaptExtent(SchedulerElection* election, TimePoint now) {
+  election->self.partial = !HasMajority(*election, now);
+  election->role =
+      election->self.partial ? SchedulerRole::kPartial : SchedulerRole::kFull;
+  election->leader = election->self.vm;
+}
+
+void ForgetOldPeers(SchedulerElection* election, TimePoint now) {
+  std::erase_if(election->peers, [&](const auto& entry) {
+    return !IsMember(*election, entry.second, now);
+  });
+}
+
+void DecideRole(SchedulerElection* election, TimePoint now,
+                std::chrono::milliseconds wall_clock) {
+  // A new daemon must not hold up the succession while it may not claim.
+  if (IsSettled(*election, now)) election->self.weight = election->weight;
+  const DaemonReport* best = BestClaim(*election, now);
+  const bool claims = election->self.claim != 0;
+  if (best != nullptr &&
+      (!claims || ClaimRank(*best) > ClaimRank(election->self))) {
+    Follow(election, best->vm);
+  } else if (claims) {
+    AdaptExtent(election, now);
+  } else if (!election->self.stopping && now >= election->no_claim_before &&
+             IsSettled(*election, now) && IsNextScheduler(*election, now)) {
+    Claim(election, now, wall_clock);
+  } else {
+    Follow(election, "");
+  }
+}
+
+// Returns the member that a worker belongs to, by rendezvous hashing.
+std::string HomeOf(const SchedulerElection& election, const std::string& worker,
+                   const std::string& data_centre, TimePoint now) {
+  const DaemonReport* home = nullptr;
+  std::tuple<bool, std::uint64_t> best;
+  const auto consider = [&](const DaemonReport& daemon) {
+    const std::tuple<bool, std::uint64_t> score{
+        daemon.data_centre == data_centre, Hash(worker, Hash(daemon.vm, 0))};
+    if (home == nullptr || score > best) {
+      home = &daemon;
+      best = score;
+    }
+  };
+  consider(election.self);
+  for (const auto& [vm, peer] : election.peers) {
+    if (IsMember(election, peer, now)) consider(peer.report);
+  }
+  return home->vm;
+}
+
+}  // namespace
+}  // namespace internal
+
+void SetListedDaemons(SchedulerElection* election,
+                      const std::vector<ListedDaemon>& listed) {
+  for (auto& [vm, peer] : election->peers) peer.listed = false;
+  for (const ListedDaemon& daemon : listed) {
+    if (daemon.vm == election->self.vm) continue;
+    ElectionPeer& peer = election->peers[daemon.vm];
+    peer.listed = true;
+    if (peer.report.vm.empty() || !peer.heard) {
+      peer.report.vm = daemon.vm;
+      peer.report.data_centre = daemon.data_centre;
+      peer.report.endpoint = daemon.endpoint;
+    }
+  }
+}
+
+void RecordReport(SchedulerElection* election, const DaemonReport& report,
+                  TimePoint now) {
+  if (report.vm == election->self.vm) return;
+  ElectionPeer& peer = election->peers[report.vm];
+  peer.report = report;
+  peer.last_heard = now;
+  peer.heard = true;
+  election->self.highest_fence = std::max(
+      {election->self.highest_fence, report.highest_fence, report.claim});
+}
+
+void RecordDaemonFailure(SchedulerElection* election, const std::string& vm) {
+  const auto found = election->peers.find(vm);
+  if (found == election->peers.end()) return;
+  found->second.heard = false;
+  found->second.report.claim = 0;
+}
+
+bool IsLive(const SchedulerElection& election, const std::string& vm,
+            TimePoint now) {
+  if (vm == election.self.vm) return true;
+  const auto found = election.peers.find(vm);
+  return found != election.peers.end() &&
+         internal::IsLivePeer(election, found->second, now);
+}
+
+ElectionChange RunElection(SchedulerElection* election, TimePoint now,
+                           std::chrono::milliseconds wall_clock) {
+  const SchedulerRole old_role = election->role;
+  const std::string old_leader = election->leader;
+  internal::ForgetOldPeers(election, now);
+  internal::DecideRole(election, now, wall_clock);
+  ElectionChange change;
+  change.role_changed = election->role != old_role;
+  change.leader_changed = election->leader != old_leader;
+  return change;
+}
+
+void StepDown(SchedulerElection* election, TimePoint now) {
+  internal::Follow(election, "");
+  election->no_claim_before = now + election->times.step_down_pause;
+}
+
+bool IsHomeWorker(const SchedulerElection& election, const std::string& worker,
+                  const std::string& data_centre, TimePoint now) {
+  return IsLive(election, internal::HomeOf(election, worker, data_centre, now),
+                now);
+}
+
+FencingToken MakeFence(std::chrono::milliseconds wall_clock,
+                       const std::string& vm, std::uint64_t incarnation) {
+  const std::uint64_t daemon =
+      internal::Hash(vm, incarnation) &
+      ((std::uint64_t{1} << internal::kFenceDaemonBits) - 1);
+  const auto time =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(1, wall_clock.count()));
+  return (time << internal::kFenceDaemonBits) | daemon;
+}
+
+FencingToken RaiseFence(FencingToken fence, std::chrono::milliseconds step) {
+  return fence + (static_cast<std::uint64_t>(step.count())
+                  << internal::kFenceDaemonBits);
+}
+
+}  // namespace sequoiapath
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -1,6 +1,7 @@
 // The daemon of one entry VM.
 
 #include <popt.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdio>
@@ -11,7 +12,9 @@
 #include <optional>
 #include <string>
 
+#include "sequoiapath/platform/adapter.h"
 #include "sequoiapath/state/daemon.h"
+#include "sequoiapath/state/entry_daemon.h"
 #include "sequoiapath/state/log.h"
 #include "sequoiapath/state/settings.h"
 #include "sequoiapath/transport/event_loop.h"
@@ -25,11 +28,14 @@
 constexpr auto kSignalPollInterval = std::chrono::milliseconds(50);
 
 volatile std::sig_atomic_t stop_signals = 0;
+volatile std::sig_atomic_t reload_signals = 0;
 
 void OnStopSignal(int /*signal*/) { stop_signals = stop_signals + 1; }
+void OnReloadSignal(int /*signal*/) { reload_signals = reload_signals + 1; }
 
 struct Options {
   std::string settings_file;
+  bool platform = false;
   bool check_only = false;
 };
 
@@ -37,10 +43,13 @@
 std::variant<Options, int> ParseOptions(int argc, const char** argv) {
   char* settings_file = nullptr;
   int check_only = 0;
+  int platform = 0;
   int version = 0;
   const poptOption options[] = {
       {"settings", 's', POPT_ARG_STRING, &settings_file, 0,
        "settings file (TOML), see docs/settings.md", "FILE"},
+      {"platform", 'p', POPT_ARG_NONE, &platform, 0,
+       "run on the users' platform, with its settings file", nullptr},
       {"check", 'c', POPT_ARG_NONE, &check_only, 0,
        "check the settings file and exit", nullptr},
       {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version and exit",
@@ -60,13 +69,17 @@
   } else if (version != 0) {
     std::puts("sequoiapathd 0.1.0");
     exit_code = 0;
-  } else if (extra != nullptr || settings_file == nullptr) {
-    std::fputs("usage: sequoiapathd --settings FILE [--check]\n", stderr);
+  } else if (extra != nullptr || (settings_file == nullptr && platform == 0)) {
+    std::fputs(
+        "usage: sequoiapathd --settings FILE [--check]\n"
+        "       sequoiapathd --platform [--settings FILE] [--check]\n",
+        stderr);
     exit_code = kExitUsage;
   }
   poptFreeContext(context);
   if (exit_code) return *exit_code;
-  return Options{settings_file, check_only != 0};
+  const std::string file = settings_file == nullptr ? "" : settings_file;
+  return Options{file, platform != 0, check_only != 0};
 }
 
 std::optional<std::string> ReadFile(const std::string& path) {
@@ -120,6 +133,78 @@
   return 0;
 }
 
+// Returns the settings file of the platform's daemon, or an empty string.
+std::string PlatformSettingsFile(const Options& options) {
+  if (!options.settings_file.empty()) return options.settings_file;
+  const char* named = std::getenv(platform::kSettingsVariable);
+  return named == nullptr ? "" : named;
+}
+
+// Reads the platform's settings; reports what is wrong with them.
+std::optional<EntrySettings> LoadEntrySettings(const std::string& path) {
+  const auto text = ReadFile(path);
+  if (!text) {
+    Log(LogLevel::kError, "settings_unreadable", {{"file", path}});
+    return std::nullopt;
+  }
+  auto settings = platform::ReadSettings(*text);
+  if (const auto* errors = std::get_if<std::string>(&settings)) {
+    Log(LogLevel::kError, "settings_invalid",
+        {{"file", path}, {"detail", *errors}});
+    return std::nullopt;
+  }
+  return std::get<EntrySettings>(std::move(settings));
+}
+
+// How many signals of each kind were handled.
+struct HandledSignals {
+  int stop = 0;
+  int reload = 0;
+};
+
+void PollEntrySignals(EventLoop* loop, EntryDaemon* daemon,
+                      const std::string& settings_file,
+                      HandledSignals handled) {
+  while (handled.reload < reload_signals) {
+    ++handled.reload;
+    const auto settings = LoadEntrySettings(settings_file);
+    if (settings) daemon->Reload(*settings);
+  }
+  while (handled.stop < stop_signals) {
+    ++handled.stop;
+    daemon->BeginStop();
+  }
+  loop->Schedule(kSignalPollInterval, [loop, daemon, settings_file, handled] {
+    PollEntrySignals(loop, daemon, settings_file, handled);
+  });
+}
+
+int RunOnPlatform(const Options& options) {
+  SetLogOutput(STDOUT_FILENO);
+  const std::string file = PlatformSettingsFile(options);
+  auto settings = LoadEntrySettings(file);
+  if (!settings) return kExitUsage;
+  if (options.check_only) return 0;
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, OnStopSignal);
+  std::signal(SIGINT, OnStopSignal);
+  std::signal(SIGHUP, OnReloadSignal);
+  EventLoop loop;
+  auto built = EntryDaemonBuilder(&loop, *std::move(settings),
+                                  {.callers = platform::MakeCallerCodec(),
+                                   .workers = platform::MakeWorkerCodec(),
+                                   .store = platform::MakeKeyValueCodec()})
+                   .Build();
+  if (const auto* error = std::get_if<std::string>(&built)) {
+    Log(LogLevel::kError, "cannot_start", {{"detail", *error}});
+    return kExitCannotStart;
+  }
+  const auto& daemon = std::get<std::unique_ptr<EntryDaemon>>(built);
+  PollEntrySignals(&loop, daemon.get(), file, {});
+  loop.Run();
+  return 0;
+}
+
 }  // namespace
 }  // namespace internal
 }  // namespace sequoiapath
@@ -129,6 +214,7 @@
   const auto parsed = sequoiapath::internal::ParseOptions(argc, argv);
   if (const int* exit_code = std::get_if<int>(&parsed)) return *exit_code;
   const auto& options = std::get<Options>(parsed);
+  if (options.platform) return sequoiapath::internal::RunOnPlatform(options);
   auto settings = sequoiapath::internal::LoadSettings(options.settings_file);
   if (!settings) return sequoiapath::internal::kExitUsage;
   if (options.check_only) return 0;
--- a/packages/protocol/include/sequoiapath/protocol/peer_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/peer_message.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "sequoiapath/protocol/job.h"
+#include "sequoiapath/protocol/scheduler_message.h"
 #include "sequoiapath/protocol/session_id.h"
 #include "sequoiapath/protocol/verdict.h"
 #include "sequoiapath/transport/endpoint.h"
@@ -364,7 +365,13 @@
   X(ConfigPullReply) \
   X(Handover) \
   X(HandoverReply) \
-  X(PeerRefusal)
+  X(PeerRefusal) \
+  X(DaemonReport) \
+  X(StepJob) \
+  X(StepJobAnswer) \
+  X(CatalogRequest) \
+  X(CatalogCopy) \
+  X(CancelStepJob)
 // clang-format on
 
 // Returns the MessagePack form: an array of the fields in declaration order.
--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -75,6 +75,21 @@
                    m.detail)
 
 SEQUOIAPATH_FIELDS(PeerRefusal, m.failure)
+SEQUOIAPATH_FIELDS(DaemonReport, m.vm, m.data_centre, m.endpoint, m.incarnation,
+                   m.weight, m.claim, m.partial, m.stopping, m.highest_fence,
+                   m.config_version, m.store_revision)
+SEQUOIAPATH_FIELDS(Resources, m.milli_cores, m.memory_mb, m.accelerators)
+SEQUOIAPATH_FIELDS(JobStep, m.count, m.demand, m.estimate, m.after,
+                   m.required_label, m.preferred_rack, m.max_per_worker)
+SEQUOIAPATH_FIELDS(StepJob, m.id, m.spec, m.steps, m.service, m.priority,
+                   m.max_attempts, m.stretch, m.slack, m.remaining, m.age,
+                   m.generation)
+SEQUOIAPATH_FIELDS(StepJobAnswer, m.outcome, m.reason, m.retry_after)
+SEQUOIAPATH_FIELDS(WorkerEntry, m.id, m.value)
+SEQUOIAPATH_FIELDS(CatalogRequest, m.vm)
+SEQUOIAPATH_FIELDS(CatalogCopy, m.revision, m.config_version, m.config,
+                   m.workers)
+SEQUOIAPATH_FIELDS(CancelStepJob, m.job)
 #undef SEQUOIAPATH_FIELDS
 
 // The greatest value of each enum that is encoded as a number.
@@ -94,6 +109,10 @@
   return static_cast<int>(HandedOverState::kAnswerDropped);
 }
 
+constexpr int MaxValue(StepJobOutcome /*outcome*/) {
+  return static_cast<int>(StepJobOutcome::kCancelled);
+}
+
 // Enums of the caller's protocol are encoded by their stable names.
 void ParseName(std::string_view text, std::optional<Verdict>* out) {
   *out = ParseVerdict(text);
@@ -181,6 +200,19 @@
 bool IsValid(const LoanDemand& value) {
   return IsCount(value.worker_tasks) && IsCount(value.quota_units);
 }
+bool IsValid(const JobStep& value) {
+  return value.count > 0 && value.demand.milli_cores >= 0 &&
+         value.demand.memory_mb >= 0 && value.demand.accelerators >= 0;
+}
+// A step names only earlier ones, so that a job cannot wait for itself.
+bool IsValid(const StepJob& value) {
+  for (std::size_t step = 0; step < value.steps.size(); ++step) {
+    for (const std::uint32_t earlier : value.steps[step].after) {
+      if (earlier >= step) return false;
+    }
+  }
+  return !value.id.empty() && !value.steps.empty();
+}
 bool IsValid(const Demand& value) {
   // The comparison also refuses a NaN.
   return value.cores >= 0 && value.memory_mb >= 0 && value.accelerators >= 0;
--- /dev/null
+++ b/packages/state/include/sequoiapath/state/entry_settings.h
@@ -0,0 +1,40 @@
+// Defines EntrySettings, what a daemon on an entry VM of the platform is told
+// at its start.
+
+#ifndef SEQUOIAPATH_STATE_ENTRY_SETTINGS_H_
+#define SEQUOIAPATH_STATE_ENTRY_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "sequoiapath/transport/endpoint.h"
+
+namespace sequoiapath {
+
+struct EntrySettings {
+  std::string vm;
+  std::string data_centre;
+  Endpoint caller_listen;
+  Endpoint ready_listen;
+  Endpoint peer_listen;
+  Endpoint metrics_listen;
+  Endpoint store;
+  std::vector<Endpoint> seeds;  // Peer endpoints of other daemons.
+  // Time between SIGTERM and SIGKILL.
+  std::chrono::milliseconds stop_grace{0};
+  // Share of a core in thousandths.
+  std::uint32_t core_share = 0;
+  // Longest lease that workers grant to what they run.
+  std::chrono::milliseconds longest_lease{0};
+};
+
+// Every error of a settings text, one a line.
+using EntrySettingsResult = std::variant<EntrySettings, std::string>;
+
+}  // namespace sequoiapath
+
+#endif  // SEQUOIAPATH_STATE_ENTRY_SETTINGS_H_
--- a/packages/state/include/sequoiapath/state/log.h
+++ b/packages/state/include/sequoiapath/state/log.h
@@ -1,4 +1,4 @@
-// Defines the structured log: one line per event on standard error.
+// Defines the structured log: one line per event on standard output or error.
 
 #ifndef SEQUOIAPATH_STATE_LOG_H_
 #define SEQUOIAPATH_STATE_LOG_H_
@@ -26,9 +26,15 @@
 // Sets the lowest level that is written. Call it before other threads start.
 void SetLogLevel(LogLevel level);
 
+// Sends the log to a file descriptor instead of standard error. Call it before
+// other threads start.
+void SetLogOutput(int descriptor);
+
 // Writes one line "time level event key=value ..." in a single write, so that
 // lines of several processes do not mix. The rate is bounded: lines beyond it
-// are counted and reported in one line. Thread-safe.
+// are counted and reported in one line. A line that the output does not take at
+// once is dropped and counted, so that a reader that stalls never blocks the
+// process. Thread-safe.
 void Log(LogLevel level, std::string_view event,
          std::initializer_list<LogField> fields = {});
 
--- /dev/null
+++ b/packages/state/src/entry_catalog.cc
@@ -0,0 +1,115 @@
+#include "entry_catalog.h"
+
+#include <set>
+#include <utility>
+
+#include "sequoiapath/state/log.h"
+
+namespace sequoiapath::internal {
+namespace {
+
+void RemoveWorker(EntryCatalog* catalog, const std::string& id,
+                  CatalogChange* change) {
+  if (catalog->workers.erase(id) > 0) change->removed.push_back(id);
+}
+
+// An unreadable record names no worker that could be used.
+void SetWorker(EntryCatalog* catalog, const std::string& id,
+               const std::string& value, CatalogChange* change) {
+  const auto known = catalog->workers.find(id);
+  if (known != catalog->workers.end() && known->second == value) return;
+  auto decoded = catalog->codec.decode_worker(id, value);
+  if (const auto* error = std::get_if<std::string>(&decoded)) {
+    Log(LogLevel::kWarning, "worker_record_unreadable",
+        {{"worker", id}, {"detail", *error}, {"bytes", value.size()}});
+    RemoveWorker(catalog, id, change);
+    return;
+  }
+  catalog->workers[id] = value;
+  change->updated.push_back(std::get<WorkerDescription>(std::move(decoded)));
+}
+
+void RemoveOthers(EntryCatalog* catalog, const std::set<std::string>& listed,
+                  CatalogChange* change) {
+  std::vector<std::string> gone;
+  for (const auto& [id, value] : catalog->workers) {
+    if (!listed.contains(id)) gone.push_back(id);
+  }
+  for (const std::string& id : gone) RemoveWorker(catalog, id, change);
+}
+
+std::string WorkerId(const EntryCatalog& catalog, const std::string& key) {
+  return key.substr(std::min(key.size(), catalog.codec.worker_prefix.size()));
+}
+
+}  // namespace
+
+CatalogChange ApplyConfig(EntryCatalog* catalog, const std::string& value) {
+  CatalogChange change;
+  auto decoded = catalog->codec.decode_routes(value);
+  if (const auto* error = std::get_if<std::string>(&decoded)) {
+    Log(LogLevel::kError, "config_unreadable",
+        {{"detail", *error}, {"bytes", value.size()}});
+    return change;
+  }
+  auto& routes = std::get<RouteTable>(decoded);
+  if (routes.version <= catalog->config_version) return change;
+  Log(LogLevel::kInfo, "config_in_force",
+      {{"version", routes.version},
+       {"former", catalog->config_version},
+       {"routes", routes.routes.size()}});
+  catalog->config_version = routes.version;
+  catalog->config = value;
+  change.routes = std::move(routes);
+  return change;
+}
+
+CatalogChange ApplyWorkers(EntryCatalog* catalog, const KeyValuePage& page,
+                           bool complete) {
+  CatalogChange change;
+  std::set<std::string> listed;
+  for (const KeyValueItem& item : page.items) {
+    const std::string id = WorkerId(*catalog, item.key);
+    listed.insert(id);
+    SetWorker(catalog, id, item.value, &change);
+  }
+  for (const std::string& key : page.removed) {
+    RemoveWorker(catalog, WorkerId(*catalog, key), &change);
+  }
+  if (complete) {
+    RemoveOthers(catalog, listed, &change);
+    catalog->workers_known = true;
+  }
+  catalog->worker_revision = page.revision;
+  return change;
+}
+
+CatalogChange ApplyCopy(EntryCatalog* catalog, const CatalogCopy& copy) {
+  CatalogChange change;
+  if (copy.config_version > catalog->config_version) {
+    change = ApplyConfig(catalog, copy.config);
+  }
+  if (copy.revision <= catalog->worker_revision) return change;
+  std::set<std::string> listed;
+  for (const WorkerEntry& entry : copy.workers) {
+    listed.insert(entry.id);
+    SetWorker(catalog, entry.id, entry.value, &change);
+  }
+  RemoveOthers(catalog, listed, &change);
+  catalog->worker_revision = copy.revision;
+  catalog->workers_known = true;
+  return change;
+}
+
+CatalogCopy CopyCatalog(const EntryCatalog& catalog) {
+  CatalogCopy copy;
+  copy.revision = catalog.worker_revision;
+  copy.config_version = catalog.config_version;
+  copy.config = catalog.config;
+  for (const auto& [id, value] : catalog.workers) {
+    copy.workers.push_back({id, value});
+  }
+  return copy;
+}
+
+}  // namespace sequoiapath::internal
--- /dev/null
+++ b/packages/state/src/entry_daemon.cc
@@ -0,0 +1,778 @@
+#include "sequoiapath/state/entry_daemon.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "entry_catalog.h"
+#include "entry_metrics.h"
+#include "sequoiapath/coordination/scheduler_election.h"
+#include "sequoiapath/protocol/peer_message.h"
+#include "sequoiapath/state/job_gateway.h"
+#include "sequoiapath/state/key_value_client.h"
+#include "sequoiapath/state/log.h"
+#include "sequoiapath/state/scheduler_service.h"
+#include "sequoiapath/transport/http_server.h"
+#include "sequoiapath/transport/peer_client.h"
+
+namespace sequoiapath {
+namespace internal {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kElectionInterval = milliseconds(50);
+constexpr Duration kHeartbeatInterval = milliseconds(200);
+constexpr milliseconds kHeartbeatTimeout{400};
+constexpr milliseconds kPeerConnectTimeout{300};
+// Added to a job's remaining time for the reply to travel.
+constexpr milliseconds kSubmissionSlack{300};
+constexpr milliseconds kCatalogTimeout{800};
+// Entries of daemons in the store.
+constexpr std::string_view kDaemonPrefix = "sequoiapath/daemon/";
+constexpr milliseconds kDaemonTtl{4000};
+// Workers rewrite their entries every second or two. The scheduler reads the
+// changes often; the other daemons only keep up to take over.
+constexpr Duration kSchedulerWorkersPause = milliseconds(200);
+constexpr Duration kFollowerWorkersPause = milliseconds(800);
+// Lease renewals are answered more often than this while the store is there.
+constexpr Duration kStoreSilence = milliseconds(2500);
+// The balancer needs two missed checks a second apart to take a VM out.
+constexpr Duration kLeaveRotation = milliseconds(2600);
+// A stop ends so long before the platform kills the process.
+constexpr Duration kStopReserve = milliseconds(400);
+constexpr Duration kStopCheckInterval = milliseconds(50);
+constexpr Duration kSuppressedLinesInterval = std::chrono::seconds(1);
+constexpr std::size_t kMaxCallerBody = 4u << 20;
+constexpr std::size_t kMaxPeerBody = 16u << 20;
+constexpr Duration kCallerTimeout = std::chrono::seconds(30);
+constexpr Duration kPeerIdleTimeout = std::chrono::seconds(60);
+constexpr Duration kPeerReuseTimeout = std::chrono::seconds(50);
+constexpr const char* kReportPath = "/scheduler/report";
+constexpr const char* kSubmitPath = "/scheduler/submit";
+constexpr const char* kCancelPath = "/scheduler/cancel";
+constexpr const char* kCatalogPath = "/scheduler/catalog";
+constexpr const char* kOriginHeader = "x-origin";
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
+
+// What this daemon keeps of another one beside the election.
+struct PeerLink {
+  bool heartbeat_in_flight = false;
+  bool live = false;     // At the last turn of the election.
+  bool suspect = false;  // A heartbeat was not answered.
+  std::uint64_t incarnation = 0;
+};
+
+struct EntryDaemonState {
+  EventLoop* loop = nullptr;
+  EntrySettings settings;
+  EntryCodecs codecs;
+  EntryCatalog catalog;
+  SchedulerElection election;
+  std::map<std::string, std::string> daemon_entries;  // Key to value.
+  std::map<std::string, PeerLink> links;              // By VM.
+  std::unique_ptr<PeerClient> peers;
+  std::unique_ptr<SchedulerService> service;
+  std::unique_ptr<JobGateway> gateway;
+  std::unique_ptr<KeyValueClient> store;
+  std::unique_ptr<HttpServer> caller_server;
+  std::unique_ptr<HttpServer> ready_server;
+  std::unique_ptr<HttpServer> peer_server;
+  std::unique_ptr<HttpServer> metrics_server;
+  EntryCounts counts;
+  bool pull_in_flight = false;
+  bool stopping = false;
+  bool ready_logged = false;
+  TimePoint stop_began;
+};
+
+namespace {
+
+void SendHeartbeats(EntryDaemonState* daemon);
+void RunElectionNow(EntryDaemonState* daemon);
+
+milliseconds WallClock() {
+  return std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+std::string Origin(const std::string& vm, std::uint64_t incarnation) {
+  return fmt::format("{}/{}", vm, incarnation);
+}
+
+std::string OwnOrigin(const EntryDaemonState& daemon) {
+  return Origin(daemon.election.self.vm, daemon.election.self.incarnation);
+}
+
+void UpdateOwnReport(EntryDaemonState* daemon) {
+  daemon->election.self.config_version = daemon->catalog.config_version;
+  daemon->election.self.store_revision = daemon->catalog.worker_revision;
+}
+
+// ---- Catalog ----
+
+void TakeOver(EntryDaemonState* daemon, CatalogChange change) {
+  if (change.routes) daemon->gateway->SetRoutes(*std::move(change.routes));
+  for (const WorkerDescription& worker : change.updated) {
+    daemon->service->UpdateWorker(worker);
+  }
+  for (const std::string& id : change.removed) {
+    daemon->service->UnlistWorker(id);
+  }
+  UpdateOwnReport(daemon);
+}
+
+void OnConfigChange(EntryDaemonState* daemon, const KeyValuePage& page) {
+  for (const KeyValueItem& item : page.items) {
+    if (item.key != daemon->codecs.store.config_key) continue;
+    TakeOver(daemon, ApplyConfig(&daemon->catalog, item.value));
+  }
+}
+
+// Another daemon's entry is "data centre address:port".
+std::vector<ListedDaemon> ListDaemons(const EntryDaemonState& daemon) {
+  std::vector<ListedDaemon> listed;
+  for (const auto& [key, value] : daemon.daemon_entries) {
+    const auto space = value.find(' ');
+    if (space == std::string::npos) continue;
+    const auto endpoint = ParseEndpoint(value.substr(space + 1));
+    if (!endpoint) continue;
+    listed.push_back(
+        {key.substr(kDaemonPrefix.size()), value.substr(0, space), *endpoint});
+  }
+  return listed;
+}
+
+void OnDaemonsChange(EntryDaemonState* daemon, const KeyValuePage& page,
+                     bool complete) {
+  if (complete) daemon->daemon_entries.clear();
+  for (const KeyValueItem& item : page.items) {
+    if (!item.key.starts_with(kDaemonPrefix)) continue;
+    daemon->daemon_entries[item.key] = item.value;
+  }
+  for (const std::string& key : page.removed) daemon->daemon_entries.erase(key);
+  SetListedDaemons(&daemon->election, ListDaemons(*daemon));
+  SendHeartbeats(daemon);
+}
+
+void FollowStore(EntryDaemonState* daemon) {
+  const KeyValueCodec& codec = daemon->codecs.store;
+  daemon->store->Follow(std::string(codec.config_prefix),
+                        [daemon](const KeyValuePage& page, bool /*complete*/) {
+                          OnConfigChange(daemon, page);
+                        });
+  daemon->store->Follow(
+      std::string(codec.worker_prefix),
+      [daemon](const KeyValuePage& page, bool complete) {
+        TakeOver(daemon, ApplyWorkers(&daemon->catalog, page, complete));
+      });
+  daemon->store->Follow(std::string(kDaemonPrefix),
+                        [daemon](const KeyValuePage& page, bool complete) {
+                          OnDaemonsChange(daemon, page, complete);
+                        });
+  const EntrySettings& settings = daemon->settings;
+  daemon->store->Keep(
+      {std::string(kDaemonPrefix) + settings.vm,
+       settings.data_centre + " " + ToString(settings.peer_listen)},
+      kDaemonTtl);
+}
+
+bool StoreIsSilent(const EntryDaemonState& daemon) {
+  const TimePoint last = daemon.store->LastAnswer();
+  return last == TimePoint{} || daemon.loop->Now() - last > kStoreSilence;
+}
+
+// Fetches another daemon's catalog if it has news that the store does not
+// deliver to this one.
+void PullCatalog(EntryDaemonState* daemon, const DaemonReport& report) {
+  const bool newer_config =
+      report.config_version > daemon->catalog.config_version;
+  const bool newer_workers =
+      report.store_revision > daemon->catalog.worker_revision &&
+      (StoreIsSilent(*daemon) || !daemon->catalog.workers_known);
+  if (daemon->pull_in_flight || (!newer_config && !newer_workers)) return;
+  daemon->pull_in_flight = true;
+  ++daemon->counts.catalog_pulls;
+  PeerCall call{
+      .path = kCatalogPath,
+      .headers = {},
+      .body = EncodePeerMessage(CatalogRequest{daemon->election.self.vm})};
+  daemon->peers->Call(
+      report.endpoint, std::move(call), kCatalogTimeout,
+      [daemon, vm = report.vm](const HttpResult& result) {
+        daemon->pull_in_flight = false;
+        const auto* response = std::get_if<HttpResponse>(&result);
+        if (response == nullptr || response->status != kStatusOk) {
+          Log(LogLevel::kWarning, "catalog_pull_failed", {{"vm", vm}});
+          return;
+        }
+        auto copy = DecodePeerMessage<CatalogCopy>(response->body);
+        const auto* decoded = std::get_if<CatalogCopy>(&copy);
+        if (decoded == nullptr) {
+          Log(LogLevel::kError, "catalog_copy_unreadable", {{"vm", vm}});
+          return;
+        }
+        Log(LogLevel::kInfo, "catalog_pulled",
+            {{"vm", vm},
+             {"config", decoded->config_version},
+             {"revision", decoded->revision},
+             {"former_revision", daemon->catalog.worker_revision}});
+        TakeOver(daemon, ApplyCopy(&daemon->catalog, *decoded));
+      });
+}
+
+// ---- Heartbeats ----
+
+void OnReport(EntryDaemonState* daemon, const DaemonReport& report) {
+  if (report.vm == daemon->election.self.vm) return;
+  RecordReport(&daemon->election, report, daemon->loop->Now());
+  PeerLink& link = daemon->links[report.vm];
+  if (link.incarnation != 0 && link.incarnation != report.incarnation) {
+    daemon->service->CancelJobsOf(Origin(report.vm, link.incarnation));
+  }
+  link.incarnation = report.incarnation;
+  PullCatalog(daemon, report);
+}
+
+void OnHeartbeatReply(EntryDaemonState* daemon, const std::string& vm,
+                      const HttpResult& result) {
+  PeerLink& link = daemon->links[vm];
+  link.heartbeat_in_flight = false;
+  const auto* response = std::get_if<HttpResponse>(&result);
+  if (response == nullptr || response->status != kStatusOk) {
+    ++daemon->counts.heartbeats_failed;
+    const auto* error = std::get_if<HttpError>(&result);
+    if (error != nullptr && error->kind != HttpErrorKind::kTimeout) {
+      RecordDaemonFailure(&daemon->election, vm);
+    }
+    link.suspect = true;
+    RunElectionNow(daemon);
+    return;
+  }
+  auto report = DecodePeerMessage<DaemonReport>(response->body);
+  if (const auto* decoded = std::get_if<DaemonReport>(&report)) {
+    OnReport(daemon, *decoded);
+  }
+  // Replies on the connection that went silent will not come.
+  if (std::exchange(link.suspect, false) && vm == daemon->election.leader) {
+    daemon->gateway->ResubmitAll();
+  }
+  RunElectionNow(daemon);
+}
+
+void SendHeartbeat(EntryDaemonState* daemon, const std::string& vm,
+                   const Endpoint& endpoint) {
+  PeerLink& link = daemon->links[vm];
+  if (link.heartbeat_in_flight) return;
+  link.heartbeat_in_flight = true;
+  ++daemon->counts.heartbeats;
+  PeerCall call{.path = kReportPath,
+                .headers = {},
+                .body = EncodePeerMessage(daemon->election.self)};
+  daemon->peers->Call(endpoint, std::move(call), kHeartbeatTimeout,
+                      [daemon, vm](const HttpResult& result) {
+                        OnHeartbeatReply(daemon, vm, result);
+                      });
+}
+
+// Asks a seed for its name while no other daemon is known.
+void AskSeeds(EntryDaemonState* daemon) {
+  if (!daemon->election.peers.empty()) return;
+  for (const Endpoint& seed : daemon->settings.seeds) {
+    if (seed == daemon->settings.peer_listen) continue;
+    PeerCall call{.path = kReportPath,
+                  .headers = {},
+                  .body = EncodePeerMessage(daemon->election.self)};
+    daemon->peers->Call(
+        seed, std::move(call), kHeartbeatTimeout,
+        [daemon](const HttpResult& result) {
+          const auto* response = std::get_if<HttpResponse>(&result);
+          if (response == nullptr || response->status != kStatusOk) return;
+          auto report = DecodePeerMessage<DaemonReport>(response->body);
+          if (const auto* decoded = std::get_if<DaemonReport>(&report)) {
+            OnReport(daemon, *decoded);
+          }
+        });
+  }
+}
+
+void SendHeartbeats(EntryDaemonState* daemon) {
+  for (const auto& [vm, peer] : daemon->election.peers) {
+    if (peer.report.endpoint.port == 0) continue;
+    SendHeartbeat(daemon, vm, peer.report.endpoint);
+  }
+}
+
+void HeartbeatTick(EntryDaemonState* daemon) {
+  AskSeeds(daemon);
+  SendHeartbeats(daemon);
+  daemon->loop->Schedule(kHeartbeatInterval,
+                         [daemon] { HeartbeatTick(daemon); });
+}
+
+// ---- Election ----
+
+std::set<std::string> HomeWorkers(const EntryDaemonState& daemon) {
+  std::set<std::string> home;
+  const TimePoint now = daemon.loop->Now();
+  for (const auto& [id, worker] : daemon.service->scheduler().workers) {
+    if (IsHomeWorker(daemon.election, id, worker.description.data_centre,
+                     now)) {
+      home.insert(id);
+    }
+  }
+  return home;
+}
+
+void UpdateExtent(EntryDaemonState* daemon) {
+  const bool partial = daemon->election.role == SchedulerRole::kPartial;
+  std::set<std::string> home;
+  if (partial) home = HomeWorkers(*daemon);
+  const TaskScheduler& scheduler = daemon->service->scheduler();
+  if (scheduler.partial == partial && scheduler.home_workers == home) return;
+  Log(LogLevel::kInfo, "scheduling_extent",
+      {{"partial", partial}, {"home_workers", home.size()}});
+  daemon->service->SetExtent(partial, std::move(home));
+}
+
+const char* RoleName(SchedulerRole role) {
+  switch (role) {
+    case SchedulerRole::kFollower:
+      return "follower";
+    case SchedulerRole::kFull:
+      return "full";
+    case SchedulerRole::kPartial:
+      return "partial";
+  }
+  return "unknown";
+}
+
+// Follows daemons that came or went.
+void UpdateLiveness(EntryDaemonState* daemon) {
+  const TimePoint now = daemon->loop->Now();
+  bool returned = false;
+  for (auto& [vm, link] : daemon->links) {
+    const bool live = IsLive(daemon->election, vm, now);
+    if (live == link.live) continue;
+    link.live = live;
+    Log(LogLevel::kInfo, live ? "daemon_reachable" : "daemon_unreachable",
+        {{"vm", vm}, {"incarnation", link.incarnation}});
+    if (live) {
+      returned = true;
+    } else {
+      daemon->service->CancelJobsOf(Origin(vm, link.incarnation));
+    }
+  }
+  if (returned) daemon->service->RetryForeignWorkers();
+}
+
+void LogLeader(const EntryDaemonState& daemon, const std::string& former) {
+  Log(LogLevel::kInfo, "scheduler_changed",
+      {{"scheduler", daemon.election.leader},
+       {"former", former},
+       {"role", RoleName(daemon.election.role)},
+       {"fence", daemon.election.self.claim},
+       {"known_daemons", daemon.election.peers.size() + 1}});
+}
+
+void FollowRole(EntryDaemonState* daemon, bool schedules) {
+  const bool scheduled = daemon->service->scheduler().claim != 0;
+  if (schedules && !scheduled) {
+    ++daemon->counts.elections_won;
+    UpdateExtent(daemon);
+    daemon->service->Begin(daemon->election.self.claim);
+    SendHeartbeats(daemon);
+  } else if (!schedules && scheduled) {
+    daemon->service->End();
+  } else if (schedules) {
+    UpdateExtent(daemon);
+  }
+}
+
+void RunElectionNow(EntryDaemonState* daemon) {
+  UpdateOwnReport(daemon);
+  UpdateLiveness(daemon);
+  const std::string former = daemon->election.leader;
+  const ElectionChange change =
+      RunElection(&daemon->election, daemon->loop->Now(), WallClock());
+  FollowRole(daemon, daemon->election.self.claim != 0);
+  if (!change.leader_changed && !change.role_changed) return;
+  ++daemon->counts.leader_changes;
+  LogLeader(*daemon, former);
+  if (change.leader_changed) daemon->gateway->LeaderChanged();
+}
+
+void ElectionTick(EntryDaemonState* daemon) {
+  RunElectionNow(daemon);
+  daemon->loop->Schedule(kElectionInterval, [daemon] { ElectionTick(daemon); });
+}
+
+// ---- Submissions ----
+
+const Endpoint* EndpointOf(const EntryDaemonState& daemon,
+                           const std::string& vm) {
+  const auto found = daemon.election.peers.find(vm);
+  return found == daemon.election.peers.end() ? nullptr
+                                              : &found->second.report.endpoint;
+}
+
+SubmissionResult ReadSubmissionResult(const HttpResult& result) {
+  SubmissionResult submission;
+  if (const auto* error = std::get_if<HttpError>(&result)) {
+    submission.may_have_been_sent = error->may_have_been_sent;
+    return submission;
+  }
+  auto answer =
+      DecodePeerMessage<StepJobAnswer>(std::get<HttpResponse>(result).body);
+  if (auto* decoded = std::get_if<StepJobAnswer>(&answer)) {
+    submission.delivered = true;
+    submission.answer = *std::move(decoded);
+  }
+  return submission;
+}
+
+void SubmitToLeader(EntryDaemonState* daemon, const std::string& leader,
+                    StepJob job, const SubmissionCallback& callback) {
+  if (leader == daemon->election.self.vm) {
+    daemon->service->Submit(std::move(job), OwnOrigin(*daemon),
+                            [callback](const StepJobAnswer& answer) {
+                              callback({true, answer, true});
+                            });
+    return;
+  }
+  const Endpoint* endpoint = EndpointOf(*daemon, leader);
+  if (endpoint == nullptr) {
+    callback({false, {}, false});
+    return;
+  }
+  const Duration timeout = job.remaining + kSubmissionSlack;
+  PeerCall call{.path = kSubmitPath,
+                .headers = {{kOriginHeader, OwnOrigin(*daemon)}},
+                .body = EncodePeerMessage(job)};
+  daemon->peers->Call(*endpoint, std::move(call), timeout,
+                      [daemon, leader, callback](const HttpResult& result) {
+                        const auto* error = std::get_if<HttpError>(&result);
+                        const bool process_ended =
+                            error != nullptr &&
+                            (error->kind == HttpErrorKind::kClosed ||
+                             error->kind == HttpErrorKind::kConnectFailed);
+                        if (process_ended)
+                          RecordDaemonFailure(&daemon->election, leader);
+                        callback(ReadSubmissionResult(result));
+                        if (process_ended) {
+                          SendHeartbeats(daemon);
+                          RunElectionNow(daemon);
+                        }
+                      });
+}
+
+void CancelAtLeader(EntryDaemonState* daemon, const std::string& leader,
+                    const std::string& job) {
+  if (leader == daemon->election.self.vm) {
+    daemon->service->Cancel(job);
+    return;
+  }
+  const Endpoint* endpoint = EndpointOf(*daemon, leader);
+  if (endpoint == nullptr) return;
+  PeerCall call{.path = kCancelPath,
+                .headers = {},
+                .body = EncodePeerMessage(CancelStepJob{job})};
+  daemon->peers->Call(*endpoint, std::move(call), kHeartbeatTimeout,
+                      [job, leader](const HttpResult& result) {
+                        if (std::holds_alternative<HttpResponse>(result)) {
+                          return;
+                        }
+                        Log(LogLevel::kWarning, "cancel_unanswered",
+                            {{"id", job}, {"scheduler", leader}});
+                      });
+}
+
+SchedulerAccess MakeAccess(EntryDaemonState* daemon) {
+  return {.leader = [daemon] { return daemon->election.leader; },
+          .submit =
+              [daemon](const std::string& leader, StepJob job,
+                       SubmissionCallback callback) {
+                SubmitToLeader(daemon, leader, std::move(job), callback);
+              },
+          .cancel =
+              [daemon](const std::string& leader, const std::string& job) {
+                CancelAtLeader(daemon, leader, job);
+              }};
+}
+
+// ---- Servers ----
+
+HttpResponse PeerReply(std::string body) {
+  return {.status = kStatusOk, .headers = {}, .body = std::move(body)};
+}
+
+void RespondStatus(const HttpResponder& responder, int status) {
+  responder.Respond({.status = status, .headers = {}, .body = ""});
+}
+
+void HandleReport(EntryDaemonState* daemon, const HttpRequest& request,
+                  const HttpResponder& responder) {
+  auto report = DecodePeerMessage<DaemonReport>(request.body);
+  const auto* decoded = std::get_if<DaemonReport>(&report);
+  if (decoded == nullptr) {
+    RespondStatus(responder, kStatusBadRequest);
+    return;
+  }
+  OnReport(daemon, *decoded);
+  RunElectionNow(daemon);
+  responder.Respond(PeerReply(EncodePeerMessage(daemon->election.self)));
+}
+
+void HandleSubmit(EntryDaemonState* daemon, const HttpRequest& request,
+                  const HttpResponder& responder) {
+  auto job = DecodePeerMessage<StepJob>(request.body);
+  auto* decoded = std::get_if<StepJob>(&job);
+  if (decoded == nullptr) {
+    Log(LogLevel::kError, "submission_unreadable",
+        {{"bytes", request.body.size()}});
+    RespondStatus(responder, kStatusBadRequest);
+    return;
+  }
+  const std::string origin(
+      FindHeader(request.headers, kOriginHeader).value_or(""));
+  daemon->service->Submit(
+      *std::move(decoded), origin, [responder](const StepJobAnswer& answer) {
+        responder.Respond(PeerReply(EncodePeerMessage(answer)));
+      });
+}
+
+void HandleCancel(EntryDaemonState* daemon, const HttpRequest& request,
+                  const HttpResponder& responder) {
+  auto cancel = DecodePeerMessage<CancelStepJob>(request.body);
+  const auto* decoded = std::get_if<CancelStepJob>(&cancel);
+  if (decoded == nullptr) {
+    RespondStatus(responder, kStatusBadRequest);
+    return;
+  }
+  daemon->service->Cancel(decoded->job);
+  responder.Respond(PeerReply(""));
+}
+
+void HandlePeer(EntryDaemonState* daemon, const HttpRequest& request,
+                const HttpResponder& responder) {
+  if (request.path == kReportPath) {
+    HandleReport(daemon, request, responder);
+  } else if (request.path == kSubmitPath) {
+    HandleSubmit(daemon, request, responder);
+  } else if (request.path == kCancelPath) {
+    HandleCancel(daemon, request, responder);
+  } else if (request.path == kCatalogPath) {
+    responder.Respond(
+        PeerReply(EncodePeerMessage(CopyCatalog(daemon->catalog))));
+  } else {
+    RespondStatus(responder, kStatusNotFound);
+  }
+}
+
+// Ready: a submission would reach a scheduler now.
+bool IsReady(const EntryDaemonState& daemon) {
+  return !daemon.stopping && daemon.catalog.config_version > 0 &&
+         !daemon.election.leader.empty();
+}
+
+void HandleReady(EntryDaemonState* daemon, const HttpRequest& request,
+                 const HttpResponder& responder) {
+  if (request.path != daemon->codecs.callers.ready_path) {
+    RespondStatus(responder, kStatusNotFound);
+    return;
+  }
+  const bool ready = IsReady(*daemon);
+  if (ready != daemon->ready_logged) {
+    daemon->ready_logged = ready;
+    Log(LogLevel::kInfo, ready ? "ready" : "not_ready",
+        {{"stopping", daemon->stopping},
+         {"config", daemon->catalog.config_version},
+         {"scheduler", daemon->election.leader}});
+  }
+  RespondStatus(responder, ready ? kStatusOk : kStatusUnavailable);
+}
+
+void HandleMetrics(EntryDaemonState* daemon, const HttpResponder& responder) {
+  const auto age = std::chrono::duration<double>(daemon->loop->Now() -
+                                                 daemon->store->LastAnswer());
+  const EntryMetricsSource source{
+      .daemon = daemon->counts,
+      .gateway = daemon->gateway->Counts(),
+      .store = daemon->store->Counts(),
+      .scheduler = daemon->service->scheduler(),
+      .election = daemon->election,
+      .pending_jobs = daemon->gateway->PendingJobs(),
+      .config_version = daemon->catalog.config_version,
+      .store_answer_age_seconds = age.count()};
+  responder.Respond({.status = kStatusOk,
+                     .headers = {{"content-type", "text/plain; version=0.0.4"}},
+                     .body = RenderEntryMetrics(source)});
+}
+
+// Starts a server; returns what failed, if anything did.
+std::optional<std::string> Listen(EntryDaemonState* daemon,
+                                  const Endpoint& endpoint,
+                                  std::size_t max_body, Duration timeout,
+                                  HttpHandler handler,
+                                  std::unique_ptr<HttpServer>* server) {
+  auto built = HttpServerBuilder(daemon->loop)
+                   .Listen(endpoint)
+                   .MaxBodySize(max_body)
+                   .RequestTimeout(timeout)
+                   .Handler(std::move(handler))
+                   .Build();
+  if (const auto* error = std::get_if<ListenError>(&built)) {
+    return error->message;
+  }
+  *server = std::get<std::unique_ptr<HttpServer>>(std::move(built));
+  return std::nullopt;
+}
+
+std::optional<std::string> ListenAll(EntryDaemonState* daemon) {
+  const EntrySettings& settings = daemon->settings;
+  auto error = Listen(
+      daemon, settings.peer_listen, kMaxPeerBody, kPeerIdleTimeout,
+      [daemon](const HttpRequest& request, HttpResponder responder) {
+        HandlePeer(daemon, request, responder);
+      },
+      &daemon->peer_server);
+  if (error) return error;
+  error = Listen(
+      daemon, settings.ready_listen, kMaxCallerBody, kCallerTimeout,
+      [daemon](const HttpRequest& request, HttpResponder responder) {
+        HandleReady(daemon, request, responder);
+      },
+      &daemon->ready_server);
+  if (error) return error;
+  error = Listen(
+      daemon, settings.metrics_listen, kMaxCallerBody, kCallerTimeout,
+      [daemon](const HttpRequest& /*request*/, HttpResponder responder) {
+        HandleMetrics(daemon, responder);
+      },
+      &daemon->metrics_server);
+  if (error) return error;
+  return Listen(
+      daemon, settings.caller_listen, kMaxCallerBody, kCallerTimeout,
+      [daemon](const HttpRequest& request, HttpResponder responder) {
+        daemon->gateway->Handle(request, responder);
+      },
+      &daemon->caller_server);
+}
+
+// ---- Stop ----
+
+void FinishStop(EntryDaemonState* daemon) {
+  const Duration elapsed = daemon->loop->Now() - daemon->stop_began;
+  const bool idle = daemon->caller_server->PendingRequests() == 0 &&
+                    elapsed >= kLeaveRotation;
+  const bool out_of_time =
+      elapsed >= daemon->settings.stop_grace - kStopReserve;
+  if (idle || out_of_time) {
+    Log(LogLevel::kInfo, "stopped",
+        {{"unanswered", daemon->caller_server->PendingRequests()},
+         {"ms", std::chrono::duration_cast<milliseconds>(elapsed).count()}});
+    daemon->loop->RequestStop();
+    return;
+  }
+  daemon->loop->Schedule(kStopCheckInterval, [daemon] { FinishStop(daemon); });
+}
+
+void ReportSuppressed(EntryDaemonState* daemon) {
+  ReportSuppressedLines();
+  daemon->loop->Schedule(kSuppressedLinesInterval,
+                         [daemon] { ReportSuppressed(daemon); });
+}
+
+void InitializeElection(EntryDaemonState* daemon) {
+  const EntrySettings& settings = daemon->settings;
+  DaemonReport& self = daemon->election.self;
+  self.vm = settings.vm;
+  self.data_centre = settings.data_centre;
+  self.endpoint = settings.peer_listen;
+  std::random_device random;
+  self.incarnation = (std::uint64_t{random()} << 32) | random();
+  daemon->election.weight = settings.core_share;
+  daemon->election.started = daemon->loop->Now();
+}
+
+}  // namespace
+}  // namespace internal
+
+EntryDaemon::EntryDaemon(std::unique_ptr<internal::EntryDaemonState> state)
+    : state(std::move(state)) {}
+
+EntryDaemon::~EntryDaemon() = default;
+
+void EntryDaemon::BeginStop() {
+  internal::EntryDaemonState* daemon = this->state.get();
+  if (std::exchange(daemon->stopping, true)) return;
+  daemon->stop_began = daemon->loop->Now();
+  Log(LogLevel::kInfo, "stopping",
+      {{"pending", daemon->gateway->PendingJobs()},
+       {"schedules", daemon->election.self.claim != 0}});
+  daemon->election.self.stopping = true;
+  StepDown(&daemon->election, daemon->loop->Now());
+  internal::RunElectionNow(daemon);
+  internal::SendHeartbeats(daemon);
+  daemon->store->EndLease();
+  daemon->caller_server->BeginGracefulShutdown();
+  internal::FinishStop(daemon);
+}
+
+void EntryDaemon::Reload(const EntrySettings& settings) {
+  internal::EntryDaemonState* daemon = this->state.get();
+  const bool moved = settings.caller_listen != daemon->settings.caller_listen ||
+                     settings.peer_listen != daemon->settings.peer_listen ||
+                     settings.ready_listen != daemon->settings.ready_listen;
+  daemon->settings.seeds = settings.seeds;
+  daemon->settings.stop_grace = settings.stop_grace;
+  Log(LogLevel::kInfo, "settings_reloaded",
+      {{"seeds", settings.seeds.size()}, {"addresses_differ", moved}});
+}
+
+EntryDaemonBuilder::EntryDaemonBuilder(EventLoop* loop, EntrySettings settings,
+                                       EntryCodecs codecs)
+    : loop(loop), settings(std::move(settings)), codecs(codecs) {}
+
+std::variant<std::unique_ptr<EntryDaemon>, std::string>
+EntryDaemonBuilder::Build() {
+  auto state = std::make_unique<internal::EntryDaemonState>();
+  internal::EntryDaemonState* daemon = state.get();
+  daemon->loop = this->loop;
+  daemon->settings = std::move(this->settings);
+  daemon->codecs = this->codecs;
+  daemon->catalog.codec = this->codecs.store;
+  internal::InitializeElection(daemon);
+  daemon->peers = PeerClientBuilder(this->loop)
+                      .ConnectTimeout(internal::kPeerConnectTimeout)
+                      .IdleTimeout(internal::kPeerReuseTimeout)
+                      .Build();
+  daemon->service =
+      SchedulerServiceBuilder(this->loop, this->codecs.workers).Build();
+  daemon->gateway = JobGatewayBuilder(this->loop, this->codecs.callers,
+                                      internal::MakeAccess(daemon))
+                        .Build();
+  daemon->store = KeyValueClientBuilder(this->loop, daemon->settings.store,
+                                        this->codecs.store)
+                      .Build();
+  if (auto error = internal::ListenAll(daemon)) return *std::move(error);
+  Log(LogLevel::kInfo, "started",
+      {{"vm", daemon->settings.vm},
+       {"data_centre", daemon->settings.data_centre},
+       {"incarnation", daemon->election.self.incarnation},
+       {"core_share", daemon->settings.core_share}});
+  internal::FollowStore(daemon);
+  internal::HeartbeatTick(daemon);
+  internal::ElectionTick(daemon);
+  internal::ReportSuppressed(daemon);
+  return std::unique_ptr<EntryDaemon>(new EntryDaemon(std::move(state)));
+}
+
+}  // namespace sequoiapath
--- /dev/null
+++ b/packages/state/src/entry_metrics.h
@@ -0,0 +1,43 @@
+// Defines the rendering of an entry daemon's metrics.
+
+#ifndef SEQUOIAPATH_STATE_ENTRY_METRICS_H_
+#define SEQUOIAPATH_STATE_ENTRY_METRICS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "sequoiapath/coordination/scheduler_election.h"
+#include "sequoiapath/coordination/task_scheduler.h"
+#include "sequoiapath/state/job_gateway.h"
+#include "sequoiapath/state/key_value_client.h"
+
+namespace sequoiapath::internal {
+
+// Values that the daemon counts itself.
+struct EntryCounts {
+  std::uint64_t elections_won = 0;
+  std::uint64_t leader_changes = 0;
+  std::uint64_t heartbeats = 0;
+  std::uint64_t heartbeats_failed = 0;
+  std::uint64_t catalog_pulls = 0;
+};
+
+// What is rendered.
+struct EntryMetricsSource {
+  const EntryCounts& daemon;
+  const GatewayCounts& gateway;
+  const KeyValueCounts& store;
+  const TaskScheduler& scheduler;
+  const SchedulerElection& election;
+  std::size_t pending_jobs = 0;
+  std::uint64_t config_version = 0;
+  double store_answer_age_seconds = 0;
+};
+
+// Returns the Prometheus text form, version 0.0.4. Thread-safe.
+std::string RenderEntryMetrics(const EntryMetricsSource& source);
+
+}  // namespace sequoiapath::internal
+
+#endif  // SEQUOIAPATH_STATE_ENTRY_METRICS_H_
--- /dev/null
+++ b/packages/state/src/job_gateway.cc
@@ -0,0 +1,421 @@
+#include "sequoiapath/state/job_gateway.h"
+
+#include <algorithm>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "sequoiapath/state/log.h"
+
+namespace sequoiapath {
+namespace internal {
+
+using std::chrono::milliseconds;
+
+// Retries a submission that found no scheduler.
+constexpr Duration kRetryInterval = milliseconds(20);
+// When the caller sets no limit and the route has none either.
+constexpr milliseconds kDefaultTimeout{5000};
+// The scheduler ends a job at the caller's limit; its answer needs a moment.
+constexpr milliseconds kAnswerSlack{50};
+constexpr milliseconds kNoSchedulerRetry{1000};
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusMethodNotAllowed = 405;
+constexpr int kStatusGone = 410;
+constexpr int kStatusTooLarge = 413;
+constexpr int kStatusUnavailable = 503;
+
+// A job that has no answer yet.
+struct GatewayJob {
+  StepJob job;
+  std::string route;
+  std::uint64_t config_version = 0;
+  HttpResponder responder;
+  TimePoint arrived;
+  TimePoint expires;
+  std::string submitted_to;      // Empty: waits for a scheduler.
+  std::uint64_t submission = 0;  // Tells late results of earlier ones apart.
+  bool ever_sent = false;
+  std::uint32_t submissions = 0;
+};
+
+struct JobGatewayState {
+  EventLoop* loop = nullptr;
+  CallerCodec codec;
+  SchedulerAccess access;
+  RouteTable routes;
+  std::unordered_map<std::string, GatewayJob> jobs;
+  std::uint64_t next_submission = 1;
+  bool retry_scheduled = false;
+  GatewayCounts counts;
+};
+
+namespace {
+
+void ScheduleRetry(JobGatewayState* gateway);
+
+void RespondText(const HttpResponder& responder, int status, std::string text) {
+  responder.Respond({.status = status,
+                     .headers = {{"content-type", "text/plain"}},
+                     .body = std::move(text)});
+}
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+void CountAnswer(GatewayCounts* counts, const StepJobAnswer& answer,
+                 Duration duration) {
+  switch (answer.outcome) {
+    case StepJobOutcome::kCompleted:
+      ++counts->completed;
+      break;
+    case StepJobOutcome::kFailed:
+      ++counts->failed;
+      break;
+    case StepJobOutcome::kRefused:
+      ++counts->refused;
+      break;
+    case StepJobOutcome::kCancelled:
+      ++counts->cancelled;
+      break;
+    case StepJobOutcome::kExpired:
+    case StepJobOutcome::kMoved:
+      ++counts->expired;
+      break;
+  }
+  const auto bound =
+      std::lower_bound(GatewayCounts::kBoundsMs.begin(),
+                       GatewayCounts::kBoundsMs.end(), Milliseconds(duration));
+  ++counts->by_time[static_cast<std::size_t>(bound -
+                                             GatewayCounts::kBoundsMs.begin())];
+  counts->seconds += std::chrono::duration<double>(duration).count();
+}
+
+// Answers the caller and forgets the job.
+void AnswerCaller(JobGatewayState* gateway, const std::string& id,
+                  const StepJobAnswer& answer) {
+  const auto node = gateway->jobs.extract(id);
+  if (node.empty()) return;
+  const GatewayJob& job = node.mapped();
+  const Duration duration = gateway->loop->Now() - job.arrived;
+  CountAnswer(&gateway->counts, answer, duration);
+  Log(LogLevel::kInfo, "job_answered",
+      {{"id", id},
+       {"route", job.route},
+       {"outcome", ToString(answer.outcome)},
+       {"reason", answer.reason},
+       {"ms", Milliseconds(duration)},
+       {"scheduler", job.submitted_to},
+       {"submissions", job.submissions},
+       {"config", job.config_version}});
+  job.responder.Respond(gateway->codec.encode_answer(answer));
+}
+
+void OnResult(JobGatewayState* gateway, const std::string& id,
+              std::uint64_t submission, const SubmissionResult& result) {
+  const auto found = gateway->jobs.find(id);
+  if (found == gateway->jobs.end()) return;
+  GatewayJob& job = found->second;
+  if (job.submission != submission) return;
+  if (result.delivered && result.answer.outcome != StepJobOutcome::kMoved) {
+    AnswerCaller(gateway, id, result.answer);
+    return;
+  }
+  if (result.may_have_been_sent) job.ever_sent = true;
+  Log(LogLevel::kInfo, "job_returned",
+      {{"id", id},
+       {"scheduler", job.submitted_to},
+       {"reason", result.delivered ? result.answer.reason : "unanswered"},
+       {"sent", result.may_have_been_sent}});
+  job.submitted_to.clear();
+  ScheduleRetry(gateway);
+}
+
+void SubmitTo(JobGatewayState* gateway, GatewayJob* job,
+              const std::string& leader) {
+  const TimePoint now = gateway->loop->Now();
+  if (job->submissions++ > 0) ++gateway->counts.resubmitted;
+  // Runs of the job at an earlier scheduler may still go on.
+  if (job->ever_sent) ++job->job.generation;
+  job->ever_sent = true;
+  job->submitted_to = leader;
+  job->submission = gateway->next_submission++;
+  StepJob copy = job->job;
+  copy.age = std::chrono::duration_cast<milliseconds>(now - job->arrived);
+  copy.remaining =
+      std::max(milliseconds(0),
+               std::chrono::duration_cast<milliseconds>(job->expires - now));
+  const std::string id = copy.id;
+  const std::uint64_t submission = job->submission;
+  gateway->access.submit(
+      leader, std::move(copy),
+      [gateway, id, submission](const SubmissionResult& result) {
+        OnResult(gateway, id, submission, result);
+      });
+}
+
+milliseconds TotalEstimate(const StepJob& job) {
+  milliseconds longest(0);
+  for (const JobStep& step : job.steps) {
+    longest = std::max(longest, step.estimate);
+  }
+  return longest;
+}
+
+// Ends jobs that have no answer in time.
+void ExpireJob(JobGatewayState* gateway, const std::string& id,
+               const GatewayJob& job) {
+  if (job.ever_sent) {
+    if (!job.submitted_to.empty()) {
+      gateway->access.cancel(job.submitted_to, id);
+    }
+    AnswerCaller(
+        gateway, id,
+        {StepJobOutcome::kExpired, "deadline_exceeded", milliseconds(0)});
+    return;
+  }
+  AnswerCaller(gateway, id,
+               {StepJobOutcome::kRefused, "no_scheduler", kNoSchedulerRetry});
+}
+
+// A job that was never sent is refused as soon as it cannot end in time.
+bool IsHopeless(const GatewayJob& job, TimePoint now) {
+  return !job.ever_sent && now + TotalEstimate(job.job) > job.expires;
+}
+
+void SubmitWaiting(JobGatewayState* gateway) {
+  const TimePoint now = gateway->loop->Now();
+  const std::string leader = gateway->access.leader();
+  std::vector<std::string> waiting;
+  for (const auto& [id, job] : gateway->jobs) {
+    if (job.submitted_to != leader || leader.empty()) waiting.push_back(id);
+  }
+  for (const std::string& id : waiting) {
+    const auto found = gateway->jobs.find(id);
+    if (found == gateway->jobs.end()) continue;
+    GatewayJob& job = found->second;
+    if (now >= job.expires || IsHopeless(job, now)) {
+      ExpireJob(gateway, id, job);
+    } else if (!leader.empty()) {
+      SubmitTo(gateway, &job, leader);
+    }
+  }
+  const bool any_waiting = std::any_of(
+      gateway->jobs.begin(), gateway->jobs.end(),
+      [](const auto& entry) { return entry.second.submitted_to.empty(); });
+  if (any_waiting) ScheduleRetry(gateway);
+}
+
+void ScheduleRetry(JobGatewayState* gateway) {
+  if (std::exchange(gateway->retry_scheduled, true)) return;
+  gateway->loop->Schedule(kRetryInterval, [gateway] {
+    gateway->retry_scheduled = false;
+    SubmitWaiting(gateway);
+  });
+}
+
+void WatchDeadline(JobGatewayState* gateway, const std::string& id,
+                   TimePoint expires) {
+  gateway->loop->Schedule(
+      expires + kAnswerSlack - gateway->loop->Now(), [gateway, id, expires] {
+        const auto found = gateway->jobs.find(id);
+        if (found == gateway->jobs.end() || found->second.expires != expires) {
+          return;
+        }
+        ExpireJob(gateway, id, found->second);
+      });
+}
+
+// The caller has left: nobody needs the answer.
+void WatchAbort(JobGatewayState* gateway, const std::string& id,
+                const HttpResponder& responder) {
+  responder.OnAbort([gateway, id] {
+    const auto found = gateway->jobs.find(id);
+    if (found == gateway->jobs.end()) return;
+    Log(LogLevel::kInfo, "caller_left",
+        {{"id", id}, {"scheduler", found->second.submitted_to}});
+    if (!found->second.submitted_to.empty()) {
+      gateway->access.cancel(found->second.submitted_to, id);
+    }
+    ++gateway->counts.cancelled;
+    gateway->jobs.erase(found);
+  });
+}
+
+void RefuseSubmission(JobGatewayState* gateway, const SubmissionError& error,
+                      const HttpResponder& responder, const std::string& path) {
+  ++gateway->counts.malformed;
+  Log(LogLevel::kInfo, "submission_refused",
+      {{"path", path},
+       {"malformed", error.malformed},
+       {"detail", error.message}});
+  RespondText(responder,
+              error.malformed ? kStatusBadRequest : kStatusUnavailable,
+              error.message);
+}
+
+void AcceptJob(JobGatewayState* gateway, StepJob job, const Route& route,
+               const HttpRequest& request, const HttpResponder& responder) {
+  const std::string id = job.id;
+  const auto known = gateway->jobs.find(id);
+  WatchAbort(gateway, id, responder);
+  if (known != gateway->jobs.end()) {
+    // The caller sent it again; the earlier connection is of no use.
+    known->second.responder.OnAbort(nullptr);
+    known->second.responder = responder;
+    return;
+  }
+  const milliseconds timeout = gateway->codec.caller_timeout(request).value_or(
+      route.timeout.count() > 0 ? route.timeout : kDefaultTimeout);
+  const TimePoint now = gateway->loop->Now();
+  GatewayJob accepted{.job = std::move(job),
+                      .route = route.name,
+                      .config_version = gateway->routes.version,
+                      .responder = responder,
+                      .arrived = now,
+                      .expires = now + timeout,
+                      .submitted_to = "",
+                      .submission = 0,
+                      .ever_sent = false,
+                      .submissions = 0};
+  GatewayJob* added =
+      &gateway->jobs.emplace(id, std::move(accepted)).first->second;
+  WatchDeadline(gateway, id, added->expires);
+  const std::string leader = gateway->access.leader();
+  if (leader.empty()) {
+    ScheduleRetry(gateway);
+  } else {
+    SubmitTo(gateway, added, leader);
+  }
+}
+
+void HandlePost(JobGatewayState* gateway, const Route& route,
+                const HttpRequest& request, const HttpResponder& responder) {
+  if (gateway->routes.max_body_bytes > 0 &&
+      request.body.size() > gateway->routes.max_body_bytes) {
+    ++gateway->counts.malformed;
+    RespondText(responder, kStatusTooLarge, "the body is too large");
+    return;
+  }
+  auto decoded = gateway->codec.decode_submission(request, route);
+  if (const auto* error = std::get_if<SubmissionError>(&decoded)) {
+    RefuseSubmission(gateway, *error, responder, request.path);
+    return;
+  }
+  AcceptJob(gateway, std::get<StepJob>(std::move(decoded)), route, request,
+            responder);
+}
+
+std::string RestOfPath(const HttpRequest& request, const Route& route) {
+  const std::string path = request.path.substr(0, request.path.find('?'));
+  return path.substr(std::min(path.size(), route.prefix.size()));
+}
+
+// Jobs are answered at their end and not kept, so no state is ever known.
+void HandleGet(JobGatewayState* gateway, const Route& route,
+               const HttpRequest& request, const HttpResponder& responder) {
+  if (RestOfPath(request, route).empty()) {
+    responder.Respond(gateway->codec.encode_pending(0));
+    return;
+  }
+  RespondText(responder, kStatusGone, "no such job");
+}
+
+void HandleDelete(JobGatewayState* gateway, const Route& route,
+                  const HttpRequest& request, const HttpResponder& responder) {
+  const std::string id = RestOfPath(request, route);
+  const auto found = gateway->jobs.find(id);
+  if (found == gateway->jobs.end()) {
+    // Another daemon may have taken it.
+    const std::string leader = gateway->access.leader();
+    if (!leader.empty()) gateway->access.cancel(leader, id);
+    RespondText(responder, kStatusGone, "no such job");
+    return;
+  }
+  if (!found->second.submitted_to.empty()) {
+    gateway->access.cancel(found->second.submitted_to, id);
+  }
+  const StepJobAnswer cancelled{StepJobOutcome::kCancelled, "cancelled",
+                                milliseconds(0)};
+  AnswerCaller(gateway, id, cancelled);
+  responder.Respond(gateway->codec.encode_answer(cancelled));
+}
+
+}  // namespace
+}  // namespace internal
+
+JobGateway::JobGateway(std::unique_ptr<internal::JobGatewayState> state)
+    : state(std::move(state)) {}
+
+JobGateway::~JobGateway() = default;
+
+void JobGateway::Handle(const HttpRequest& request,
+                        const HttpResponder& responder) {
+  internal::JobGatewayState* gateway = this->state.get();
+  if (gateway->routes.version == 0) {
+    ++gateway->counts.refused;
+    Log(LogLevel::kInfo, "refused",
+        {{"path", request.path}, {"reason", "no_configuration"}});
+    responder.Respond(gateway->codec.encode_answer(
+        {StepJobOutcome::kRefused, "no_configuration",
+         internal::kNoSchedulerRetry}));
+    return;
+  }
+  const Route* route =
+      FindRoute(gateway->routes,
+                FindHeader(request.headers, "host").value_or(""), request.path);
+  if (route == nullptr) {
+    ++gateway->counts.unknown_route;
+    Log(LogLevel::kInfo, "unknown_route",
+        {{"path", request.path}, {"config", gateway->routes.version}});
+    internal::RespondText(responder, internal::kStatusNotFound,
+                          "no such queue");
+    return;
+  }
+  if (request.method == "POST") {
+    internal::HandlePost(gateway, *route, request, responder);
+  } else if (request.method == "GET") {
+    internal::HandleGet(gateway, *route, request, responder);
+  } else if (request.method == "DELETE") {
+    internal::HandleDelete(gateway, *route, request, responder);
+  } else {
+    internal::RespondText(responder, internal::kStatusMethodNotAllowed,
+                          "POST, GET or DELETE");
+  }
+}
+
+void JobGateway::SetRoutes(RouteTable routes) {
+  this->state->routes = std::move(routes);
+}
+
+std::uint64_t JobGateway::RoutesVersion() const {
+  return this->state->routes.version;
+}
+
+void JobGateway::LeaderChanged() { internal::SubmitWaiting(this->state.get()); }
+
+void JobGateway::ResubmitAll() {
+  for (auto& [id, job] : this->state->jobs) job.submitted_to.clear();
+  internal::SubmitWaiting(this->state.get());
+}
+
+std::size_t JobGateway::PendingJobs() const { return this->state->jobs.size(); }
+
+const GatewayCounts& JobGateway::Counts() const { return this->state->counts; }
+
+JobGatewayBuilder::JobGatewayBuilder(EventLoop* loop, CallerCodec codec,
+                                     SchedulerAccess access)
+    : loop(loop), codec(codec), access(std::move(access)) {}
+
+std::unique_ptr<JobGateway> JobGatewayBuilder::Build() {
+  auto state = std::make_unique<internal::JobGatewayState>();
+  state->loop = this->loop;
+  state->codec = this->codec;
+  state->access = std::move(this->access);
+  return std::unique_ptr<JobGateway>(new JobGateway(std::move(state)));
+}
+
+}  // namespace sequoiapath
--- a/packages/state/src/log.cc
+++ b/packages/state/src/log.cc
@@ -1,6 +1,7 @@
 #include "sequoiapath/state/log.h"
 
 #include <fmt/chrono.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -16,6 +17,11 @@
 
 std::atomic<LogLevel> minimum_level{LogLevel::kInfo};
 
+std::atomic<int> output{STDERR_FILENO};
+
+// Lines that the output did not take since the last report.
+std::atomic<std::uint64_t> dropped{0};
+
 std::mutex limiter_mutex;
 LogLimiter limiter;
 
@@ -66,9 +72,11 @@
     line += fmt::format(" {}={}", field.key, Quote(field.value));
   }
   line += '\n';
-  // A log line that cannot be written has nowhere else to go.
-  [[maybe_unused]] const auto written =
-      write(STDERR_FILENO, line.data(), line.size());
+  pollfd ready{output, POLLOUT, 0};
+  // A pipe that polls as writable takes at least PIPE_BUF bytes at once.
+  if (poll(&ready, 1, 0) != 1 || write(output, line.data(), line.size()) < 0) {
+    ++dropped;
+  }
 }
 
 }  // namespace
@@ -76,6 +84,8 @@
 
 void SetLogLevel(LogLevel level) { internal::minimum_level = level; }
 
+void SetLogOutput(int descriptor) { internal::output = descriptor; }
+
 void Log(LogLevel level, std::string_view event,
          std::initializer_list<LogField> fields) {
   if (level < internal::minimum_level) return;
@@ -97,6 +107,7 @@
     suppressed =
         TakeSuppressed(&internal::limiter, std::chrono::steady_clock::now());
   }
+  suppressed += internal::dropped.exchange(0);
   if (suppressed == 0) return;
   internal::WriteLine(LogLevel::kWarning, "log_lines_suppressed",
                       {{"lines", suppressed}});
--- a/packages/transport/src/socket_options.cc
+++ b/packages/transport/src/socket_options.cc
@@ -10,11 +10,13 @@
 namespace internal {
 namespace {
 
-// Detects a dead path on connections whose request is in flight.
-constexpr auto kTcpUserTimeout = std::chrono::seconds(10);
-constexpr int kKeepAliveIdleSeconds = 5;
-constexpr int kKeepAliveIntervalSeconds = 2;
-constexpr int kKeepAliveProbes = 3;
+// Detects a dead path on connections whose request is in flight. Together with
+// the probes it finds a silent connection under a pending watch within 3 s, the
+// shortest span after which the platform expects a daemon to be up to date.
+constexpr auto kTcpUserTimeout = std::chrono::seconds(3);
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
 
 }  // namespace
 
--- a/scripts/check_format.sh
+++ b/scripts/check_format.sh
@@ -2,5 +2,5 @@
 # Fails if a source file is not formatted.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-find packages tests bench -name '*.cc' -o -name '*.h' |
+find packages platform tests bench -name '*.cc' -o -name '*.h' |
   xargs clang-format --dry-run -Werror
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,7 +6,7 @@
 build=${BUILD_DIR:-build}
 cache=$build/lint-cache
 mkdir -p "$cache"
-shared=$( (cat .clang-tidy; find packages tests bench -name '*.h' | sort | xargs cat) | sha256sum | cut -c1-16)
+shared=$( (cat .clang-tidy; find packages platform tests bench -name '*.h' | sort | xargs cat) | sha256sum | cut -c1-16)
 export build cache shared
 lint_one() {
   key=$cache/$( (echo "$shared"; echo "$1"; cat "$1") | sha256sum | cut -c1-32)
@@ -16,6 +16,6 @@
 }
 export -f lint_one
 if [ $# -gt 0 ]; then files=("$@"); else
-  mapfile -t files < <(find packages tests bench -name '*.cc' | sort)
+  mapfile -t files < <(find packages platform tests bench -name '*.cc' | sort)
 fi
 printf '%s\n' "${files[@]}" | xargs -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
