Start tasks of a resubmitted job only when every worker's runs are known

Each change of a worker's entry was a call.

Change: a job carries the highest fencing token of its former schedulers, and its tasks start when every worker has a higher token or a list made since. Runs that are being stopped are given back to their job.

--- a/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
+++ b/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
@@ -105,6 +105,9 @@
 FencingToken MakeFence(std::chrono::milliseconds wall_clock,
                        const std::string& vm, std::uint64_t incarnation);
 
+// Returns a token of this daemon above all that are known, and remembers it.
+FencingToken FenceAboveAll(SchedulerElection* election);
+
 // Returns a token of the same daemon that is above `fence` by `step`.
 FencingToken RaiseFence(FencingToken fence, std::chrono::milliseconds step);
 
--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -80,7 +80,8 @@
   TimePoint objective;
   std::uint32_t last_run = 0;  // Highest number of any run of its tasks.
   bool any_started = false;    // By this scheduler or a former one.
-  // No new task starts before, unless all workers are claimed.
+  TimePoint submitted;
+  // No new task starts before, unless it is known of every worker what it runs.
   TimePoint uncertain_until;
 };
 
@@ -167,8 +168,10 @@
 void SetExtent(TaskScheduler* scheduler, bool partial,
                std::set<std::string> home_workers);
 
-// Tries workers that another scheduler took again at once.
-void RetryForeignWorkers(TaskScheduler* scheduler, TimePoint now);
+// Tries workers that another scheduler took again after `delay`, with at least
+// the given fencing token. Precondition: the token is of this daemon.
+void RetryForeignWorkers(TaskScheduler* scheduler, FencingToken fence,
+                         Duration delay, TimePoint now);
 
 // Adds a worker or takes over a change of its record.
 void UpdateWorker(TaskScheduler* scheduler, const WorkerDescription& worker,
--- a/packages/coordination/include/sequoiapath/coordination/worker_runs.h
+++ b/packages/coordination/include/sequoiapath/coordination/worker_runs.h
@@ -61,6 +61,7 @@
   bool hold_in_flight = false;
   std::uint64_t hold_id = 0;  // Of the latest hold.
   TimePoint hold_sent_at;
+  TimePoint report_sent_at;  // When the hold of the latest report was sent.
   TimePoint next_hold;
   std::uint32_t unanswered = 0;  // Holds in a row.
   WorkerTime clock{0};           // In the latest report.
--- a/packages/coordination/src/scheduler_election.cc
+++ b/packages/coordination/src/scheduler_election.cc
@@ -100,16 +100,14 @@
 
 void Claim(SchedulerElection* election, TimePoint now,
            std::chrono::milliseconds wall_clock) {
-  FencingToken fence =
+  const FencingToken fence =
       MakeFence(wall_clock, election->self.vm, election->self.incarnation);
-  const FencingToken highest = HighestKnownFence(*election);
-  if (fence <= highest) {
-    const std::chrono::milliseconds known(highest >> kFenceDaemonBits);
-    fence = MakeFence(known + std::chrono::milliseconds(1), election->self.vm,
-                      election->self.incarnation);
+  if (fence > HighestKnownFence(*election)) {
+    election->self.highest_fence = fence;
+  } else {
+    FenceAboveAll(election);
   }
-  election->self.claim = fence;
-  election->self.highest_fence = fence;
+  election->self.claim = election->self.highest_fence;
   election->self.partial = !HasMajority(*election, now);
   election->role =
       election->self.partial ? SchedulerRole::kPartial : SchedulerRole::kFull;
@@ -253,6 +251,15 @@
   return (time << internal::kFenceDaemonBits) | daemon;
 }
 
+FencingToken FenceAboveAll(SchedulerElection* election) {
+  const std::chrono::milliseconds known(
+      internal::HighestKnownFence(*election) >> internal::kFenceDaemonBits);
+  election->self.highest_fence =
+      MakeFence(known + std::chrono::milliseconds(1), election->self.vm,
+                election->self.incarnation);
+  return election->self.highest_fence;
+}
+
 FencingToken RaiseFence(FencingToken fence, std::chrono::milliseconds step) {
   return fence + (static_cast<std::uint64_t>(step.count())
                   << internal::kFenceDaemonBits);
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -191,27 +191,47 @@
   for (const RunEnded& end : ended) ApplyEnd(scheduler, worker, end, now);
 }
 
+// Gives a run on a worker to its job. A run that is being stopped is given back
+// too: its task must not start elsewhere before it has ended.
+void AdoptTaskRun(TaskScheduler* scheduler, WorkerRuns* worker,
+                  ScheduledJob* job, const TaskName& name, WorkerRun* run) {
+  const ScheduledTask* task = FindTask(job, name);
+  if (task == nullptr) return;
+  if (task->state != TaskState::kWaiting) {
+    run->stop_wanted = true;
+    return;
+  }
+  AdoptRun(worker, name, job->job.steps[name.step]);
+  if (!run->stop_in_flight && !run->stopped_at) run->stop_wanted = false;
+  job->last_run = std::max(job->last_run, run->run);
+  ++scheduler->counts.adopted;
+  MarkPlaced(scheduler, job, name, worker->description.id);
+}
+
 // Gives orphans on a worker to the jobs that are known.
 void AdoptOrphans(TaskScheduler* scheduler, WorkerRuns* worker) {
   if (worker->orphans == 0) return;
   for (auto& [name, run] : worker->runs) {
-    if (!run.orphan) continue;
-    ScheduledJob* job = FindJob(scheduler, name.job);
-    const ScheduledTask* task = FindTask(job, name);
-    if (task == nullptr || task->state != TaskState::kWaiting) continue;
-    AdoptRun(worker, name, job->job.steps[name.step]);
-    job->last_run = std::max(job->last_run, run.run);
-    ++scheduler->counts.adopted;
-    MarkPlaced(scheduler, job, name, worker->description.id);
+    ScheduledJob* job = run.orphan ? FindJob(scheduler, name.job) : nullptr;
+    if (job != nullptr) AdoptTaskRun(scheduler, worker, job, name, &run);
+  }
+}
+
+// Gives a job all runs of its tasks that are on workers.
+void AdoptRunsOf(TaskScheduler* scheduler, ScheduledJob* job) {
+  const TaskName first{job->job.id, 0, 0};
+  for (auto& [id, worker] : scheduler->workers) {
+    for (auto run = worker.runs.lower_bound(first);
+         run != worker.runs.end() && run->first.job == job->job.id; ++run) {
+      AdoptTaskRun(scheduler, &worker, job, run->first, &run->second);
+    }
   }
 }
 
 // Takes what is known of a job's tasks from before its submission.
 void AdoptKnownTasks(TaskScheduler* scheduler, const std::string& id,
                      TimePoint now) {
-  for (auto& [worker_id, worker] : scheduler->workers) {
-    AdoptOrphans(scheduler, &worker);
-  }
+  AdoptRunsOf(scheduler, FindJob(scheduler, id));
   const TaskName first{id, 0, 0};
   for (auto it = scheduler->unclaimed_ends.lower_bound(first);
        it != scheduler->unclaimed_ends.end() && it->first.job == id;) {
@@ -422,6 +442,7 @@
                    scheduler->next_sequence++};
   scheduled.last_run = job.generation * kRunsPerGeneration;
   scheduled.any_started = job.generation > 0;
+  scheduled.submitted = now;
   if (job.generation > 0) {
     scheduled.uncertain_until = now + scheduler->times.unknown_runs;
   }
@@ -487,11 +508,23 @@
   });
 }
 
-bool AllWorkersClaimed(const TaskScheduler& scheduler) {
-  return std::all_of(scheduler.workers.begin(), scheduler.workers.end(),
-                     [](const auto& entry) {
-                       return entry.second.claim == ClaimState::kClaimed;
-                     });
+// Says whether the worker's list shows every run of the job that a former
+// scheduler started there, and no more of them can start.
+bool ShowsRunsOf(const WorkerRuns& worker, const ScheduledJob& job) {
+  if (worker.claim != ClaimState::kClaimed || worker.unanswered > 0) {
+    return false;
+  }
+  return worker.fence > job.job.former_fence ||
+         worker.report_sent_at >= job.submitted;
+}
+
+// Says whether tasks of the job may start that no worker is known to run.
+bool MayStartTasks(const TaskScheduler& scheduler, const ScheduledJob& job,
+                   TimePoint now) {
+  if (now >= job.uncertain_until) return true;
+  return std::all_of(
+      scheduler.workers.begin(), scheduler.workers.end(),
+      [&](const auto& entry) { return ShowsRunsOf(entry.second, job); });
 }
 
 // Places what fits of a job. `room` is the largest room on a worker.
@@ -506,13 +539,12 @@
 
 void PlaceTasks(TaskScheduler* scheduler, TimePoint now) {
   std::int64_t room = LargestRoom(*scheduler, now);
-  const bool certain = AllWorkersClaimed(*scheduler);
   // Placing changes the queue.
   std::vector<ScheduledJob*> jobs;
   jobs.reserve(scheduler->queue.size());
   for (const auto& [key, job] : scheduler->queue) jobs.push_back(job);
   for (ScheduledJob* job : jobs) {
-    if (!certain && now < job->uncertain_until) continue;
+    if (!MayStartTasks(*scheduler, *job, now)) continue;
     const std::uint64_t starts = scheduler->counts.starts;
     PlaceJob(scheduler, job, room, now);
     if (scheduler->counts.starts != starts) room = LargestRoom(*scheduler, now);
@@ -610,6 +642,7 @@
                      report.running.size()));
   }
   worker->next_hold = now;
+  worker->report_sent_at = worker->hold_sent_at;
   scheduler->room_changed = true;
   ApplyEnds(scheduler, worker,
             ApplyReport(worker, report, worker->hold_sent_at, now), now);
@@ -660,9 +693,13 @@
   scheduler->room_changed = true;
 }
 
-void RetryForeignWorkers(TaskScheduler* scheduler, TimePoint now) {
+void RetryForeignWorkers(TaskScheduler* scheduler, FencingToken fence,
+                         Duration delay, TimePoint now) {
   for (auto& [id, worker] : scheduler->workers) {
-    if (worker.claim == ClaimState::kForeign) worker.next_hold = now;
+    if (worker.claim != ClaimState::kForeign) continue;
+    worker.fence = std::max(worker.fence, fence);
+    worker.claimed_before = false;
+    worker.next_hold = now + delay;
   }
 }
 
--- a/packages/protocol/include/sequoiapath/protocol/step_job.h
+++ b/packages/protocol/include/sequoiapath/protocol/step_job.h
@@ -70,6 +70,8 @@
   // Grows with each submission of the job to another scheduler; the runs of
   // its tasks are numbered above all earlier ones.
   std::uint32_t generation = 0;
+  // Highest fencing token of the schedulers that had the job before.
+  std::uint64_t former_fence = 0;
 };
 
 enum class StepJobOutcome {
--- a/packages/state/include/sequoiapath/state/job_gateway.h
+++ b/packages/state/include/sequoiapath/state/job_gateway.h
@@ -39,6 +39,8 @@
 struct SchedulerAccess {
   // Returns the VM that schedules for this daemon now; empty if none is known.
   std::function<std::string()> leader;
+  // Returns the highest fencing token that any scheduler is known to use.
+  std::function<FencingToken()> fence;
   // Submits to the leader; calls back once, possibly at once.
   std::function<void(const std::string& leader, StepJob job,
                      SubmissionCallback callback)>
--- a/packages/state/include/sequoiapath/state/scheduler_service.h
+++ b/packages/state/include/sequoiapath/state/scheduler_service.h
@@ -39,8 +39,9 @@
   // Sets whether only the home workers may be used, and which these are.
   void SetExtent(bool partial, std::set<std::string> home_workers);
 
-  // Tries workers that another scheduler took again at once.
-  void RetryForeignWorkers();
+  // Tries workers that another scheduler took again after `delay`, with at
+  // least the given fencing token. Precondition: the token is of this daemon.
+  void RetryForeignWorkers(FencingToken fence, Duration delay);
 
   // Takes over a worker's record, or its removal.
   void UpdateWorker(const WorkerDescription& worker);
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -28,6 +28,8 @@
 constexpr Duration kElectionInterval = milliseconds(50);
 constexpr Duration kHeartbeatInterval = milliseconds(200);
 constexpr milliseconds kHeartbeatTimeout{400};
+// Daemons that became unreachable together are noticed within this time.
+constexpr Duration kPartialTakeDelay = milliseconds(400);
 constexpr milliseconds kPeerConnectTimeout{300};
 // Added to a job's remaining time for the reply to travel.
 constexpr milliseconds kSubmissionSlack{300};
@@ -168,8 +170,12 @@
                         [daemon](const KeyValuePage& page, bool /*complete*/) {
                           OnConfigChange(daemon, page);
                         });
-  daemon->store->Follow(
+  daemon->store->FollowBusy(
       std::string(codec.worker_prefix),
+      [daemon] {
+        return daemon->election.self.claim != 0 ? kSchedulerWorkersPause
+                                                : kFollowerWorkersPause;
+      },
       [daemon](const KeyValuePage& page, bool complete) {
         TakeOver(daemon, ApplyWorkers(&daemon->catalog, page, complete));
       });
@@ -339,7 +345,14 @@
   if (scheduler.partial == partial && scheduler.home_workers == home) return;
   Log(LogLevel::kInfo, "scheduling_extent",
       {{"partial", partial}, {"home_workers", home.size()}});
+  const bool cut_off = partial && !scheduler.partial;
   daemon->service->SetExtent(partial, std::move(home));
+  // By then every daemon that is out of reach is known, and the jobs that it
+  // submits elsewhere are stopped here.
+  if (cut_off) {
+    daemon->service->RetryForeignWorkers(FenceAboveAll(&daemon->election),
+                                         kPartialTakeDelay);
+  }
 }
 
 const char* RoleName(SchedulerRole role) {
@@ -370,7 +383,10 @@
       daemon->service->CancelJobsOf(Origin(vm, link.incarnation));
     }
   }
-  if (returned) daemon->service->RetryForeignWorkers();
+  if (returned) {
+    daemon->service->RetryForeignWorkers(FenceAboveAll(&daemon->election),
+                                         Duration::zero());
+  }
 }
 
 void LogLeader(const EntryDaemonState& daemon, const std::string& former) {
@@ -496,6 +512,7 @@
 
 SchedulerAccess MakeAccess(EntryDaemonState* daemon) {
   return {.leader = [daemon] { return daemon->election.leader; },
+          .fence = [daemon] { return daemon->election.self.highest_fence; },
           .submit =
               [daemon](const std::string& leader, StepJob job,
                        SubmissionCallback callback) {
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -144,6 +144,8 @@
   job->submitted_to = leader;
   job->submission = gateway->next_submission++;
   StepJob copy = job->job;
+  job->job.former_fence =
+      std::max(job->job.former_fence, gateway->access.fence());
   copy.age = std::chrono::duration_cast<milliseconds>(now - job->arrived);
   copy.remaining =
       std::max(milliseconds(0),
--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -175,8 +175,8 @@
   internal::ScheduleRun(this->state.get());
 }
 
-void SchedulerService::RetryForeignWorkers() {
-  sequoiapath::RetryForeignWorkers(&this->state->scheduler,
+void SchedulerService::RetryForeignWorkers(FencingToken fence, Duration delay) {
+  sequoiapath::RetryForeignWorkers(&this->state->scheduler, fence, delay,
                                    this->state->loop->Now());
   internal::ScheduleRun(this->state.get());
 }
