Refuse jobs that cannot end before a stop, and answer the rest at its end

Change: from the SIGTERM on, a job is refused as not run if twice its estimate and 0.3 s are not left; what is unanswered at the end is answered then.

--- a/packages/state/include/sequoiapath/state/job_gateway.h
+++ b/packages/state/include/sequoiapath/state/job_gateway.h
@@ -88,6 +88,12 @@
   // connection are lost. The scheduler joins jobs that it knows.
   void ResubmitAll();
 
+  // Refuses new jobs from now on that may not end before `stop`.
+  void BeginStop(TimePoint stop);
+
+  // Answers all jobs that are left, because the process ends.
+  void EndJobs();
+
   // Returns the number of jobs without an answer.
   std::size_t PendingJobs() const;
 
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -48,6 +48,7 @@
 // A stop ends so long before the platform kills the process.
 constexpr Duration kStopReserve = milliseconds(400);
 constexpr Duration kStopCheckInterval = milliseconds(50);
+constexpr Duration kStopFlush = milliseconds(50);
 constexpr Duration kSuppressedLinesInterval = std::chrono::seconds(1);
 constexpr std::size_t kMaxCallerBody = 4u << 20;
 constexpr std::size_t kMaxPeerBody = 16u << 20;
@@ -693,9 +694,12 @@
       elapsed >= daemon->settings.stop_grace - kStopReserve;
   if (idle || out_of_time) {
     Log(LogLevel::kInfo, "stopped",
-        {{"unanswered", daemon->caller_server->PendingRequests()},
+        {{"unanswered", daemon->gateway->PendingJobs()},
          {"ms", std::chrono::duration_cast<milliseconds>(elapsed).count()}});
-    daemon->loop->RequestStop();
+    daemon->gateway->EndJobs();
+    // The last answers are written in the meantime.
+    daemon->loop->Schedule(kStopFlush,
+                           [daemon] { daemon->loop->RequestStop(); });
     return;
   }
   daemon->loop->Schedule(kStopCheckInterval, [daemon] { FinishStop(daemon); });
@@ -738,6 +742,8 @@
   StepDown(&daemon->election, daemon->loop->Now());
   internal::RunElectionNow(daemon);
   internal::SendHeartbeats(daemon);
+  daemon->gateway->BeginStop(daemon->stop_began + daemon->settings.stop_grace -
+                             internal::kStopReserve);
   daemon->store->EndLease();
   daemon->caller_server->BeginGracefulShutdown();
   internal::FinishStop(daemon);
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -20,6 +20,10 @@
 // The scheduler ends a job at the caller's limit; its answer needs a moment.
 constexpr milliseconds kAnswerSlack{50};
 constexpr milliseconds kNoSchedulerRetry{1000};
+// A job that arrives during a stop is taken only if so many times its estimate,
+// and the reserve for its wait, are left.
+constexpr int kStopEstimateFactor = 2;
+constexpr milliseconds kStopReserve{300};
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusMethodNotAllowed = 405;
@@ -49,6 +53,7 @@
   std::unordered_map<std::string, GatewayJob> jobs;
   std::uint64_t next_submission = 1;
   bool retry_scheduled = false;
+  std::optional<TimePoint> stop;  // When the process ends.
   GatewayCounts counts;
 };
 
@@ -259,6 +264,22 @@
               error.message);
 }
 
+// Says whether a new job may not end before the process does.
+bool OutlastsStop(const JobGatewayState& gateway, const StepJob& job) {
+  if (!gateway.stop) return false;
+  const Duration needed =
+      kStopEstimateFactor * TotalEstimate(job) + kStopReserve;
+  return gateway.loop->Now() + needed > *gateway.stop;
+}
+
+void RefuseWhileStopping(JobGatewayState* gateway, const StepJob& job,
+                         const HttpResponder& responder) {
+  ++gateway->counts.refused;
+  Log(LogLevel::kInfo, "refused", {{"id", job.id}, {"reason", "stopping"}});
+  responder.Respond(gateway->codec.encode_answer(
+      {StepJobOutcome::kRefused, "stopping", kNoSchedulerRetry}));
+}
+
 void AcceptJob(JobGatewayState* gateway, StepJob job, const Route& route,
                const HttpRequest& request, const HttpResponder& responder) {
   const std::string id = job.id;
@@ -307,8 +328,12 @@
     RefuseSubmission(gateway, *error, responder, request.path);
     return;
   }
-  AcceptJob(gateway, std::get<StepJob>(std::move(decoded)), route, request,
-            responder);
+  auto& job = std::get<StepJob>(decoded);
+  if (!gateway->jobs.contains(job.id) && OutlastsStop(*gateway, job)) {
+    RefuseWhileStopping(gateway, job, responder);
+    return;
+  }
+  AcceptJob(gateway, std::move(job), route, request, responder);
 }
 
 std::string RestOfPath(const HttpRequest& request, const Route& route) {
@@ -404,6 +429,16 @@
   internal::SubmitWaiting(this->state.get());
 }
 
+void JobGateway::BeginStop(TimePoint stop) { this->state->stop = stop; }
+
+void JobGateway::EndJobs() {
+  std::vector<std::string> left;
+  for (const auto& [id, job] : this->state->jobs) left.push_back(id);
+  for (const std::string& id : left) {
+    internal::ExpireJob(this->state.get(), id, this->state->jobs.at(id));
+  }
+}
+
 std::size_t JobGateway::PendingJobs() const { return this->state->jobs.size(); }
 
 const GatewayCounts& JobGateway::Counts() const { return this->state->counts; }
