Keep a stopping daemon's jobs, and do not extend the leases of orphans

Cause: a daemon that announced its stop counted as lost, so the scheduler stopped the tasks of its jobs, and did not notice when it was really lost. A partition's scheduler extended leases of runs that it knew no job for; the scheduler on the other side took them for ended. A daemon left a scheduler that it could still reach without telling it.

Change: reachability decides over jobs, the announcement only over the election and the majority. Holds do not extend leases while orphans run; orphans are stopped after 0.2 s. A job's former scheduler gets a cancel. Runs that cannot be seen are waited for 1.8 s: 0.6 s until the loss is noticed, 1 s of lease.

--- a/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
+++ b/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
@@ -84,7 +84,11 @@
 // Records that a daemon's connection was refused or reset: its process ended.
 void RecordDaemonFailure(SchedulerElection* election, const std::string& vm);
 
-// Says whether a daemon is live.
+// Says whether a daemon was heard lately; a stopping one still has jobs.
+bool IsReachable(const SchedulerElection& election, const std::string& vm,
+                 TimePoint now);
+
+// Says whether a daemon is reachable and not stopping.
 bool IsLive(const SchedulerElection& election, const std::string& vm,
             TimePoint now);
 
--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -30,13 +30,18 @@
   LeaseTimes lease;
   // How long a worker's reply to a hold waits for an end.
   std::chrono::milliseconds hold_wait{300};
+  // The same while leases are not extended, because orphans run.
+  std::chrono::milliseconds orphan_hold_wait{50};
   // An unanswered hold is repeated after this.
   Duration hold_retry = std::chrono::milliseconds(60);
-  // Runs of no known job are stopped after this.
-  Duration orphan_grace = std::chrono::milliseconds(400);
+  // Runs of no known job are stopped after this. Daemons submit their jobs to a
+  // new scheduler within a round trip.
+  Duration orphan_grace = std::chrono::milliseconds(200);
   // A job that was submitted to a former scheduler starts no further task for
-  // so long while workers are missing that may run its tasks.
-  Duration unknown_runs = std::chrono::milliseconds(1300);
+  // so long while workers are missing that may run its tasks. The former
+  // scheduler notices within 0.6 s that it lost the job's daemon, and the
+  // leases that it granted until then end after one second more.
+  Duration unknown_runs = std::chrono::milliseconds(1800);
   // When a worker that another scheduler took is tried again.
   Duration foreign_retry_full = std::chrono::seconds(8);
   Duration foreign_retry_partial = std::chrono::milliseconds(200);
--- a/packages/coordination/src/scheduler_election.cc
+++ b/packages/coordination/src/scheduler_election.cc
@@ -19,19 +19,30 @@
   return XXH64(text.data(), text.size(), seed);
 }
 
+bool IsReachablePeer(const SchedulerElection& election,
+                     const ElectionPeer& peer, TimePoint now) {
+  return peer.heard && now - peer.last_heard < election.times.silence;
+}
+
 bool IsLivePeer(const SchedulerElection& election, const ElectionPeer& peer,
                 TimePoint now) {
-  return peer.heard && !peer.report.stopping &&
-         now - peer.last_heard < election.times.silence;
+  return !peer.report.stopping && IsReachablePeer(election, peer, now);
 }
 
-bool IsMember(const SchedulerElection& election, const ElectionPeer& peer,
-              TimePoint now) {
+bool IsKnown(const SchedulerElection& election, const ElectionPeer& peer,
+             TimePoint now) {
   if (peer.listed) return true;
   return peer.last_heard != TimePoint{} &&
          now - peer.last_heard < election.times.memory;
 }
 
+// A daemon that said that it stops is no member until it is heard again, so
+// that a rolling restart during a partition does not cost the majority.
+bool IsMember(const SchedulerElection& election, const ElectionPeer& peer,
+              TimePoint now) {
+  return !peer.report.stopping && IsKnown(election, peer, now);
+}
+
 std::size_t CountMembers(const SchedulerElection& election, TimePoint now) {
   return 1 + static_cast<std::size_t>(
                  std::count_if(election.peers.begin(), election.peers.end(),
@@ -131,7 +142,7 @@
 
 void ForgetOldPeers(SchedulerElection* election, TimePoint now) {
   std::erase_if(election->peers, [&](const auto& entry) {
-    return !IsMember(*election, entry.second, now);
+    return !IsKnown(*election, entry.second, now);
   });
 }
 
@@ -218,6 +229,13 @@
          internal::IsLivePeer(election, found->second, now);
 }
 
+bool IsReachable(const SchedulerElection& election, const std::string& vm,
+                 TimePoint now) {
+  const auto found = election.peers.find(vm);
+  return found != election.peers.end() &&
+         internal::IsReachablePeer(election, found->second, now);
+}
+
 ElectionChange RunElection(SchedulerElection* election, TimePoint now,
                            std::chrono::milliseconds wall_clock) {
   const SchedulerRole old_role = election->role;
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -295,17 +295,20 @@
                    TimePoint now) {
   HoldOrder order;
   // Repeated holds do not extend the lease, so that the runs of a worker that
-  // cannot be reached are known to end.
-  order.lease_end =
-      worker->unanswered > 0 || worker->claim != ClaimState::kClaimed
-          ? worker->last_lease_end
-          : NextLeaseEnd(*worker, scheduler->times.lease, now);
+  // cannot be reached are known to end. Nor does a hold while orphans run:
+  // their scheduler may be cut off and start them again when it knows their
+  // leases to have ended.
+  const bool extends = worker->unanswered == 0 && worker->orphans == 0 &&
+                       worker->claim == ClaimState::kClaimed;
+  order.lease_end = extends ? NextLeaseEnd(*worker, scheduler->times.lease, now)
+                            : worker->last_lease_end;
   worker->last_lease_end = std::max(worker->last_lease_end, order.lease_end);
   order.fence = worker->fence;
   order.last_seen_end = worker->last_seen_end;
   const bool settled =
       worker->claim == ClaimState::kClaimed && worker->unanswered == 0;
-  order.wait = settled ? scheduler->times.hold_wait : milliseconds(0);
+  if (settled) order.wait = scheduler->times.hold_wait;
+  if (worker->orphans > 0) order.wait = scheduler->times.orphan_hold_wait;
   order.worker = worker->description.id;
   order.id = ++scheduler->next_hold_id;
   worker->hold_id = order.id;
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -68,8 +68,8 @@
 // What this daemon keeps of another one beside the election.
 struct PeerLink {
   bool heartbeat_in_flight = false;
-  bool live = false;     // At the last turn of the election.
-  bool suspect = false;  // A heartbeat was not answered.
+  bool reachable = false;  // At the last turn of the election.
+  bool suspect = false;    // A heartbeat was not answered.
   std::uint64_t incarnation = 0;
 };
 
@@ -373,12 +373,12 @@
   const TimePoint now = daemon->loop->Now();
   bool returned = false;
   for (auto& [vm, link] : daemon->links) {
-    const bool live = IsLive(daemon->election, vm, now);
-    if (live == link.live) continue;
-    link.live = live;
-    Log(LogLevel::kInfo, live ? "daemon_reachable" : "daemon_unreachable",
+    const bool reachable = IsReachable(daemon->election, vm, now);
+    if (reachable == link.reachable) continue;
+    link.reachable = reachable;
+    Log(LogLevel::kInfo, reachable ? "daemon_reachable" : "daemon_unreachable",
         {{"vm", vm}, {"incarnation", link.incarnation}});
-    if (live) {
+    if (reachable) {
       returned = true;
     } else {
       daemon->service->CancelJobsOf(Origin(vm, link.incarnation));
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -40,6 +40,7 @@
   TimePoint arrived;
   TimePoint expires;
   std::string submitted_to;      // Empty: waits for a scheduler.
+  std::string former_scheduler;  // That it was submitted to last.
   std::uint64_t submission = 0;  // Tells late results of earlier ones apart.
   bool ever_sent = false;
   std::uint32_t submissions = 0;
@@ -148,6 +149,11 @@
   job->ever_sent = true;
   job->submitted_to = leader;
   job->submission = gateway->next_submission++;
+  if (!job->former_scheduler.empty() && job->former_scheduler != leader) {
+    // It may still run the job's tasks and be reachable.
+    gateway->access.cancel(job->former_scheduler, job->job.id);
+  }
+  job->former_scheduler = leader;
   StepJob copy = job->job;
   job->job.former_fence =
       std::max(job->job.former_fence, gateway->access.fence());
@@ -301,6 +307,7 @@
                       .arrived = now,
                       .expires = now + timeout,
                       .submitted_to = "",
+                      .former_scheduler = "",
                       .submission = 0,
                       .ever_sent = false,
                       .submissions = 0};
