Test the scheduler's safety in virtual time under faults

Change: a stand-in for a worker that runs tasks under leases (fakes/lease_worker), and a randomised test: schedulers that replace each other by a planned change, a kill or a partition, lost replies, late orders, restarted workers. It checks that no capacity is exceeded and no task runs twice at the same time.

--- /dev/null
+++ b/packages/fakes/src/lease_worker.cc
@@ -0,0 +1,113 @@
+#include "sequoiapath/fakes/lease_worker.h"
+
+#include <algorithm>
+
+namespace sequoiapath::fakes {
+namespace internal {
+namespace {
+
+void EndRun(LeaseWorker* worker, const TaskName& task, RunEnd how) {
+  const auto node = worker->running.extract(task);
+  if (node.empty()) return;
+  const std::uint32_t run = node.mapped().run;
+  std::uint32_t& highest = worker->highest_run[task];
+  highest = std::max(highest, run);
+  worker->ended.push_back({++worker->last_end, task, run, how});
+}
+
+bool RejectsFence(LeaseWorker* worker, FencingToken fence) {
+  if (fence < worker->fence) return true;
+  worker->fence = fence;
+  return false;
+}
+
+void ExtendLease(LeaseWorker* worker, WorkerTime end) {
+  const WorkerTime granted =
+      std::min(end, worker->now + worker->longest_lease);
+  worker->lease_end = std::max(worker->lease_end, granted);
+}
+
+}  // namespace
+}  // namespace internal
+
+std::size_t Advance(LeaseWorker* worker, WorkerTime now) {
+  const std::uint64_t before = worker->last_end;
+  worker->now = now;
+  std::vector<TaskName> done;
+  for (const auto& [task, run] : worker->running) {
+    if (!run.stands_still && run.ends <= std::min(now, worker->lease_end)) {
+      done.push_back(task);
+    }
+  }
+  for (const TaskName& task : done) {
+    const bool fails = worker->running.at(task).fails;
+    internal::EndRun(worker, task, fails ? RunEnd::kFailed : RunEnd::kDone);
+  }
+  while (now > worker->lease_end && !worker->running.empty()) {
+    internal::EndRun(worker, worker->running.begin()->first, RunEnd::kLapsed);
+  }
+  return worker->last_end - before;
+}
+
+OrderReply Start(LeaseWorker* worker, const StartOrder& order,
+                 LeaseWorkerRun run) {
+  if (internal::RejectsFence(worker, order.fence)) {
+    return OrderRejection::kFence;
+  }
+  const auto there = worker->running.find(order.task);
+  if (there != worker->running.end() && there->second.run == order.run) {
+    return OrderAccepted{worker->now};
+  }
+  const auto highest = worker->highest_run.find(order.task);
+  const bool old = highest != worker->highest_run.end() &&
+                   order.run <= highest->second;
+  if (order.lease_end > worker->now) {
+    internal::ExtendLease(worker, order.lease_end);
+  }
+  if (old || there != worker->running.end()) return OrderRejection::kOldRun;
+  if (order.lease_end <= worker->now) return OrderRejection::kLate;
+  run.run = order.run;
+  run.spec = order.spec;
+  worker->running.emplace(order.task, std::move(run));
+  return OrderAccepted{worker->now};
+}
+
+OrderReply Stop(LeaseWorker* worker, const StopOrder& order) {
+  if (internal::RejectsFence(worker, order.fence)) {
+    return OrderRejection::kFence;
+  }
+  const auto there = worker->running.find(order.task);
+  if (there != worker->running.end() && there->second.run <= order.run) {
+    internal::EndRun(worker, order.task, RunEnd::kStopped);
+  }
+  std::uint32_t& highest = worker->highest_run[order.task];
+  highest = std::max(highest, order.run);
+  return OrderAccepted{worker->now};
+}
+
+HoldReply Hold(LeaseWorker* worker, const HoldOrder& order) {
+  if (internal::RejectsFence(worker, order.fence)) {
+    return OrderRejection::kFence;
+  }
+  internal::ExtendLease(worker, order.lease_end);
+  std::erase_if(worker->ended, [&](const EndedTask& end) {
+    return end.number <= order.last_seen_end;
+  });
+  WorkerReport report;
+  report.clock = worker->now;
+  report.started_at_ms = worker->started_at_ms;
+  report.ended = worker->ended;
+  for (const auto& [task, run] : worker->running) {
+    report.running.push_back({task, run.run});
+  }
+  return report;
+}
+
+void Restart(LeaseWorker* worker) {
+  LeaseWorker fresh;
+  fresh.longest_lease = worker->longest_lease;
+  fresh.started_at_ms = worker->started_at_ms + 1;
+  *worker = std::move(fresh);
+}
+
+}  // namespace sequoiapath::fakes
