--- a/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
+++ b/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
@@ -37,6 +37,12 @@
   Duration memory = std::chrono::seconds(10);
   // A new daemon waits so long for an existing scheduler to report.
   Duration settle = std::chrono::milliseconds(900);
+  // When all daemons start together, one waits so long for stronger ones to
+  // settle.
+  Duration wait_for_stronger = std::chrono::milliseconds(1800);
+  // A daemon takes over from a scheduler that is less than half as strong when
+  // it has run for this long.
+  Duration replace_weaker = std::chrono::seconds(3);
   // After a step down a daemon does not claim for this long.
   Duration step_down_pause = std::chrono::milliseconds(400);
 };
@@ -57,8 +63,7 @@
 // Thread safety of all functions here: one thread at a time.
 struct SchedulerElection {
   ElectionTimes times;
-  DaemonReport self;         // Its weight is zero until it may claim.
-  std::uint32_t weight = 0;  // Of this daemon once it may claim.
+  DaemonReport self;
   std::map<std::string, ElectionPeer> peers;  // By VM, without this one.
   TimePoint started;
   TimePoint no_claim_before;
--- a/packages/coordination/src/scheduler_election.cc
+++ b/packages/coordination/src/scheduler_election.cc
@@ -63,9 +63,11 @@
   return 2 * CountLive(election, now) > CountMembers(election, now);
 }
 
-// Orders claims: a scheduler of the majority goes first, then the later claim.
-std::tuple<bool, FencingToken> ClaimRank(const DaemonReport& report) {
-  return {!report.partial, report.claim};
+// Orders claims: a scheduler of the majority goes first, then the stronger
+// daemon, which has the time for every worker, then the later claim.
+std::tuple<bool, std::uint32_t, FencingToken> ClaimRank(
+    const DaemonReport& report) {
+  return {!report.partial, report.weight, report.claim};
 }
 
 // Returns the live peer whose claim goes first, or null.
@@ -86,21 +88,36 @@
   return a.vm < b.vm;
 }
 
-// Says whether no live peer goes before this daemon in the order of succession.
+// Says whether the peer goes before this daemon in the order of succession. A
+// daemon that may not claim yet holds the succession up at a common start only.
+bool GoesBefore(const SchedulerElection& election, const ElectionPeer& peer,
+                TimePoint now) {
+  if (!IsLivePeer(election, peer, now)) return false;
+  const bool waits = now - election.started < election.times.wait_for_stronger;
+  return (peer.report.settled || waits) &&
+         IsPreferred(peer.report, election.self);
+}
+
 bool IsNextScheduler(const SchedulerElection& election, TimePoint now) {
   return std::none_of(election.peers.begin(), election.peers.end(),
                       [&](const auto& entry) {
-                        return IsLivePeer(election, entry.second, now) &&
-                               IsPreferred(entry.second.report, election.self);
+                        return GoesBefore(election, entry.second, now);
                       });
 }
 
-// A new daemon claims only once it had the time to hear of a scheduler, or has
-// heard every member.
+// A new daemon claims only once it had the time to hear of a scheduler.
 bool IsSettled(const SchedulerElection& election, TimePoint now) {
   return now - election.started >= election.times.settle;
 }
 
+// Says whether this daemon should take over from a scheduler that may not have
+// the time for every worker.
+bool ShouldReplace(const SchedulerElection& election,
+                   const DaemonReport& scheduler, TimePoint now) {
+  return 2 * scheduler.weight < election.self.weight &&
+         now - election.started >= election.times.replace_weaker;
+}
+
 FencingToken HighestKnownFence(const SchedulerElection& election) {
   FencingToken highest = election.self.highest_fence;
   for (const auto& [vm, peer] : election.peers) {
@@ -148,17 +165,21 @@
 
 void DecideRole(SchedulerElection* election, TimePoint now,
                 std::chrono::milliseconds wall_clock) {
-  // A new daemon must not hold up the succession while it may not claim.
-  if (IsSettled(*election, now)) election->self.weight = election->weight;
+  election->self.settled = IsSettled(*election, now);
   const DaemonReport* best = BestClaim(*election, now);
   const bool claims = election->self.claim != 0;
-  if (best != nullptr &&
-      (!claims || ClaimRank(*best) > ClaimRank(election->self))) {
+  const bool may_claim = !election->self.stopping && election->self.settled &&
+                         now >= election->no_claim_before &&
+                         IsNextScheduler(*election, now);
+  if (!claims && best != nullptr && may_claim &&
+      ShouldReplace(*election, *best, now)) {
+    Claim(election, now, wall_clock);
+  } else if (best != nullptr &&
+             (!claims || ClaimRank(*best) > ClaimRank(election->self))) {
     Follow(election, best->vm);
   } else if (claims) {
     AdaptExtent(election, now);
-  } else if (!election->self.stopping && now >= election->no_claim_before &&
-             IsSettled(*election, now) && IsNextScheduler(*election, now)) {
+  } else if (may_claim) {
     Claim(election, now, wall_clock);
   } else {
     Follow(election, "");
--- a/packages/fakes/src/lease_worker.cc
+++ b/packages/fakes/src/lease_worker.cc
@@ -22,8 +22,7 @@
 }
 
 void ExtendLease(LeaseWorker* worker, WorkerTime end) {
-  const WorkerTime granted =
-      std::min(end, worker->now + worker->longest_lease);
+  const WorkerTime granted = std::min(end, worker->now + worker->longest_lease);
   worker->lease_end = std::max(worker->lease_end, granted);
 }
 
@@ -59,8 +58,8 @@
     return OrderAccepted{worker->now};
   }
   const auto highest = worker->highest_run.find(order.task);
-  const bool old = highest != worker->highest_run.end() &&
-                   order.run <= highest->second;
+  const bool old =
+      highest != worker->highest_run.end() && order.run <= highest->second;
   if (order.lease_end > worker->now) {
     internal::ExtendLease(worker, order.lease_end);
   }
--- a/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
@@ -21,6 +21,7 @@
   std::uint64_t incarnation = 0;
   // Share of a core in thousandths; daemons with more are preferred.
   std::uint32_t weight = 0;
+  bool settled = false;    // Has run long enough to claim.
   FencingToken claim = 0;  // Zero: does not schedule.
   bool partial = false;    // Schedules on its group's home workers only.
   bool stopping = false;
--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -76,8 +76,8 @@
 
 SEQUOIAPATH_FIELDS(PeerRefusal, m.failure)
 SEQUOIAPATH_FIELDS(DaemonReport, m.vm, m.data_centre, m.endpoint, m.incarnation,
-                   m.weight, m.claim, m.partial, m.stopping, m.highest_fence,
-                   m.config_version, m.store_revision)
+                   m.weight, m.settled, m.claim, m.partial, m.stopping,
+                   m.highest_fence, m.config_version, m.store_revision)
 SEQUOIAPATH_FIELDS(Resources, m.milli_cores, m.memory_mb, m.accelerators)
 SEQUOIAPATH_FIELDS(JobStep, m.count, m.demand, m.estimate, m.after,
                    m.required_label, m.preferred_rack, m.max_per_worker)
--- a/packages/state/src/entry_catalog.h
+++ b/packages/state/include/sequoiapath/state/entry_catalog.h
@@ -13,7 +13,7 @@
 #include "sequoiapath/protocol/key_value_codec.h"
 #include "sequoiapath/protocol/scheduler_message.h"
 
-namespace sequoiapath::internal {
+namespace sequoiapath {
 
 // Thread safety of all functions here: one thread at a time.
 struct EntryCatalog {
@@ -45,6 +45,6 @@
 // Returns a copy for another daemon.
 CatalogCopy CopyCatalog(const EntryCatalog& catalog);
 
-}  // namespace sequoiapath::internal
+}  // namespace sequoiapath
 
 #endif  // SEQUOIAPATH_STATE_ENTRY_CATALOG_H_
--- a/packages/state/src/entry_catalog.cc
+++ b/packages/state/src/entry_catalog.cc
@@ -1,11 +1,13 @@
-#include "entry_catalog.h"
+#include "sequoiapath/state/entry_catalog.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
 #include "sequoiapath/state/log.h"
 
-namespace sequoiapath::internal {
+namespace sequoiapath {
+namespace internal {
 namespace {
 
 void RemoveWorker(EntryCatalog* catalog, const std::string& id,
@@ -43,6 +45,7 @@
 }
 
 }  // namespace
+}  // namespace internal
 
 CatalogChange ApplyConfig(EntryCatalog* catalog, const std::string& value) {
   CatalogChange change;
@@ -69,15 +72,15 @@
   CatalogChange change;
   std::set<std::string> listed;
   for (const KeyValueItem& item : page.items) {
-    const std::string id = WorkerId(*catalog, item.key);
+    const std::string id = internal::WorkerId(*catalog, item.key);
     listed.insert(id);
-    SetWorker(catalog, id, item.value, &change);
+    internal::SetWorker(catalog, id, item.value, &change);
   }
   for (const std::string& key : page.removed) {
-    RemoveWorker(catalog, WorkerId(*catalog, key), &change);
+    internal::RemoveWorker(catalog, internal::WorkerId(*catalog, key), &change);
   }
   if (complete) {
-    RemoveOthers(catalog, listed, &change);
+    internal::RemoveOthers(catalog, listed, &change);
     catalog->workers_known = true;
   }
   catalog->worker_revision = page.revision;
@@ -93,9 +96,9 @@
   std::set<std::string> listed;
   for (const WorkerEntry& entry : copy.workers) {
     listed.insert(entry.id);
-    SetWorker(catalog, entry.id, entry.value, &change);
+    internal::SetWorker(catalog, entry.id, entry.value, &change);
   }
-  RemoveOthers(catalog, listed, &change);
+  internal::RemoveOthers(catalog, listed, &change);
   catalog->worker_revision = copy.revision;
   catalog->workers_known = true;
   return change;
@@ -112,4 +115,4 @@
   return copy;
 }
 
-}  // namespace sequoiapath::internal
+}  // namespace sequoiapath
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -9,10 +9,10 @@
 #include <utility>
 #include <vector>
 
-#include "entry_catalog.h"
 #include "entry_metrics.h"
 #include "sequoiapath/coordination/scheduler_election.h"
 #include "sequoiapath/protocol/peer_message.h"
+#include "sequoiapath/state/entry_catalog.h"
 #include "sequoiapath/state/job_gateway.h"
 #include "sequoiapath/state/key_value_client.h"
 #include "sequoiapath/state/log.h"
@@ -719,7 +719,7 @@
   self.endpoint = settings.peer_listen;
   std::random_device random;
   self.incarnation = (std::uint64_t{random()} << 32) | random();
-  daemon->election.weight = settings.core_share;
+  self.weight = settings.core_share;
   daemon->election.started = daemon->loop->Now();
 }
 
--- /dev/null
+++ b/tests/correctness/entry_catalog_test.cc
@@ -0,0 +1,114 @@
+// Guards what a daemon believes of the configuration and the workers: versions
+// never go back, unreadable records name no worker, and another daemon's copy
+// replaces only older knowledge.
+
+#include "sequoiapath/state/entry_catalog.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "sequoiapath/platform/adapter.h"
+
+namespace sequoiapath {
+namespace {
+
+std::string Config(int version) {
+  return fmt::format(
+      R"({{"version":{},"routes":[{{"name":"r-1","host":"nony24.example",)"
+      R"("prefix":"/lohu930/","timeoutMs":1500,"sloMs":60,"priority":1,)"
+      R"("service":"huvo11a","attempts":3,"stretch":1.6}}],)"
+      R"("limits":{{"maxBodyBytes":1000}}}})",
+      version);
+}
+
+std::string Worker(const char* state) {
+  return fmt::format(
+      R"({{"service":"huvo11a","address":"10.128.0.9:8080","zone":"sanjose",)"
+      R"("slots":8,"state":"{}","capacity":{{"cpu":16000,"memMb":32768}},)"
+      R"("labels":["a","r1-3"],"born":5,"seq":4}})",
+      state);
+}
+
+EntryCatalog MakeCatalog() {
+  EntryCatalog catalog;
+  catalog.codec = platform::MakeKeyValueCodec();
+  return catalog;
+}
+
+KeyValuePage Page(std::uint64_t revision, const std::string& value) {
+  KeyValuePage page;
+  page.revision = revision;
+  page.items.push_back({"servers/i-1", value});
+  return page;
+}
+
+TEST(EntryCatalogTest, ConfigurationVersionsOnlyGrow) {
+  EntryCatalog catalog = MakeCatalog();
+  EXPECT_TRUE(ApplyConfig(&catalog, Config(7)).routes);
+  EXPECT_FALSE(ApplyConfig(&catalog, Config(6)).routes);
+  EXPECT_FALSE(ApplyConfig(&catalog, Config(7)).routes);
+  EXPECT_FALSE(ApplyConfig(&catalog, "not JSON").routes);
+  EXPECT_EQ(catalog.config_version, 7U);
+}
+
+TEST(EntryCatalogTest, ChangesOfAWorkerAreReportedOnce) {
+  EntryCatalog catalog = MakeCatalog();
+  EXPECT_EQ(
+      ApplyWorkers(&catalog, Page(1, Worker("ready")), true).updated.size(),
+      1U);
+  EXPECT_TRUE(
+      ApplyWorkers(&catalog, Page(2, Worker("ready")), false).updated.empty());
+  const CatalogChange draining =
+      ApplyWorkers(&catalog, Page(3, Worker("draining")), false);
+  ASSERT_EQ(draining.updated.size(), 1U);
+  EXPECT_TRUE(draining.updated[0].draining);
+  KeyValuePage gone;
+  gone.revision = 4;
+  gone.removed.push_back("servers/i-1");
+  EXPECT_EQ(ApplyWorkers(&catalog, gone, false).removed.size(), 1U);
+}
+
+// Another writer may leave records that name no worker to use.
+TEST(EntryCatalogTest, UnreadableRecordsNameNoWorker) {
+  EntryCatalog catalog = MakeCatalog();
+  ApplyWorkers(&catalog, Page(1, Worker("ready")), true);
+  for (const char* value :
+       {"", "[]", "{\"service\":5}", "{\"service\":\"huvo11a\"}"}) {
+    EntryCatalog copy = catalog;
+    EXPECT_EQ(ApplyWorkers(&copy, Page(2, value), false).removed.size(), 1U)
+        << value;
+  }
+  EXPECT_EQ(
+      ApplyWorkers(&catalog, Page(2, Worker("odd")), false).removed.size(), 1U);
+}
+
+TEST(EntryCatalogTest, CompleteListingRemovesWhatItDoesNotName) {
+  EntryCatalog catalog = MakeCatalog();
+  ApplyWorkers(&catalog, Page(1, Worker("ready")), true);
+  KeyValuePage empty;
+  empty.revision = 9;
+  EXPECT_EQ(ApplyWorkers(&catalog, empty, true).removed.size(), 1U);
+}
+
+// A daemon that the store refuses learns a draining worker from another one.
+TEST(EntryCatalogTest, CopyOfAnotherDaemonReplacesOlderKnowledgeOnly) {
+  EntryCatalog reached = MakeCatalog();
+  ApplyConfig(&reached, Config(9));
+  ApplyWorkers(&reached, Page(20, Worker("draining")), true);
+  EntryCatalog refused = MakeCatalog();
+  ApplyConfig(&refused, Config(7));
+  ApplyWorkers(&refused, Page(10, Worker("ready")), true);
+
+  const CatalogChange change = ApplyCopy(&refused, CopyCatalog(reached));
+  ASSERT_TRUE(change.routes);
+  EXPECT_EQ(change.routes->version, 9U);
+  ASSERT_EQ(change.updated.size(), 1U);
+  EXPECT_TRUE(change.updated[0].draining);
+
+  EntryCatalog newer = MakeCatalog();
+  ApplyWorkers(&newer, Page(30, Worker("ready")), true);
+  EXPECT_TRUE(ApplyCopy(&newer, CopyCatalog(reached)).updated.empty());
+}
+
+}  // namespace
+}  // namespace sequoiapath
