--- /dev/null
+++ b/tests/correctness/task_scheduler_test.cc
@@ -0,0 +1,389 @@
+// Guards the scheduler's decisions: order of jobs, choice of workers, refusals
+// that are true, retries after failures, and the takeover of workers.
+
+#include "sequoiapath/coordination/task_scheduler.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <set>
+
+#include "sequoiapath/fakes/lease_worker.h"
+
+namespace sequoiapath {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr FencingToken kClaim = 1000;
+
+WorkerDescription Worker(int i, std::int64_t milli_cores = 16'000) {
+  WorkerDescription worker;
+  worker.id = fmt::format("w{}", i);
+  worker.service = "desk";
+  worker.address = fmt::format("127.0.0.1:{}", 1000 + i);
+  worker.data_centre = "heredia";
+  worker.capacity = {milli_cores, 32'768, 0};
+  worker.labels = {i % 2 == 0 ? "a" : "b", fmt::format("r1-{}", i / 2)};
+  return worker;
+}
+
+StepJob Job(const std::string& id, std::uint32_t tasks = 1,
+            std::int64_t milli_cores = 6'000, int priority = 0) {
+  StepJob job;
+  job.id = id;
+  job.service = "desk";
+  job.priority = priority;
+  job.max_attempts = 2;
+  job.stretch = 1.6;
+  job.remaining = milliseconds(2000);
+  JobStep step;
+  step.count = tasks;
+  step.demand = {milli_cores, 64, 0};
+  step.estimate = milliseconds(200);
+  job.steps = {step};
+  return job;
+}
+
+// A scheduler whose workers answer at once.
+class SchedulerHarness {
+ public:
+  explicit SchedulerHarness(int workers, std::int64_t milli_cores = 16'000) {
+    for (int i = 0; i < workers; ++i) {
+      UpdateWorker(&this->scheduler, Worker(i, milli_cores), this->now);
+      this->workers[fmt::format("w{}", i)] = {};
+    }
+    BeginScheduling(&this->scheduler, kClaim, this->now);
+    this->Run(milliseconds(50));
+  }
+
+  // Lets time pass in steps of 10 ms.
+  void Run(milliseconds length) {
+    const TimePoint end = this->now + length;
+    do {
+      RunScheduler(&this->scheduler, this->now);
+      this->Deliver();
+      this->now += milliseconds(10);
+    } while (this->now < end);
+  }
+
+  void Submit(StepJob job) {
+    SubmitJob(&this->scheduler, std::move(job), this->now);
+    RunScheduler(&this->scheduler, this->now);
+    this->Deliver();
+  }
+
+  std::optional<StepJobAnswer> AnswerOf(const std::string& job) const {
+    const auto found = this->answers.find(job);
+    if (found == this->answers.end()) return std::nullopt;
+    return found->second;
+  }
+
+  std::size_t RunningOf(const std::string& job) const {
+    std::size_t count = 0;
+    for (const auto& [id, worker] : this->workers) {
+      for (const auto& [task, run] : worker.running) {
+        if (task.job == job) ++count;
+      }
+    }
+    return count;
+  }
+
+  TaskScheduler scheduler;
+  std::map<std::string, fakes::LeaseWorker> workers;
+  std::set<std::string> silent;   // Workers that answer nothing.
+  std::set<std::string> failing;  // Workers that fail each task at once.
+  milliseconds run_time{200};
+  std::map<std::string, StepJobAnswer> answers;
+  TimePoint now = kStart;
+
+ private:
+  fakes::LeaseWorker* Find(const std::string& id) {
+    fakes::LeaseWorker* worker = &this->workers[id];
+    fakes::Advance(
+        worker, std::chrono::duration_cast<milliseconds>(this->now - kStart) +
+                    milliseconds(1));
+    return worker;
+  }
+
+  void Perform(const SendStart& action) {
+    if (this->silent.contains(action.worker)) {
+      RecordStartReply(&this->scheduler, action.worker, action.order,
+                       OrderUnanswered{true}, this->now);
+      return;
+    }
+    fakes::LeaseWorker* worker = this->Find(action.worker);
+    fakes::LeaseWorkerRun run;
+    run.fails = this->failing.contains(action.worker);
+    run.ends = worker->now + (run.fails ? milliseconds(1) : this->run_time);
+    RecordStartReply(&this->scheduler, action.worker, action.order,
+                     fakes::Start(worker, action.order, run), this->now);
+  }
+  void Perform(const SendStop& action) {
+    if (this->silent.contains(action.worker)) return;
+    RecordStopReply(&this->scheduler, action.worker, action.order,
+                    fakes::Stop(this->Find(action.worker), action.order),
+                    this->now);
+  }
+  void Perform(const SendHold& action) {
+    HoldReply reply = OrderUnanswered{true};
+    if (!this->silent.contains(action.worker)) {
+      reply = fakes::Hold(this->Find(action.worker), action.order);
+    }
+    RecordHoldReply(&this->scheduler, action.worker, action.order, reply,
+                    this->now);
+  }
+  void Perform(const AnswerJob& action) {
+    this->answers[action.job] = action.answer;
+  }
+  void Perform(const SchedulerNote& /*note*/) {}
+
+  void Deliver() {
+    for (const SchedulerAction& action : TakeActions(&this->scheduler)) {
+      std::visit([this](const auto& a) { this->Perform(a); }, action);
+    }
+  }
+};
+
+TEST(TaskSchedulerTest, JobCompletesWhenAllTasksHaveEnded) {
+  SchedulerHarness harness(4);
+  harness.Submit(Job("j1", 8));
+  EXPECT_EQ(harness.RunningOf("j1"), 8U);
+  EXPECT_FALSE(harness.AnswerOf("j1"));
+  harness.Run(milliseconds(300));
+  ASSERT_TRUE(harness.AnswerOf("j1"));
+  EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kCompleted);
+}
+
+// Workers enforce no capacity.
+TEST(TaskSchedulerTest, CapacityIsNeverExceeded) {
+  SchedulerHarness harness(2);
+  harness.Submit(Job("j1", 10));
+  EXPECT_EQ(harness.RunningOf("j1"), 4U);
+  harness.Run(milliseconds(250));
+  EXPECT_EQ(harness.RunningOf("j1"), 4U);
+  harness.Run(milliseconds(600));
+  EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kCompleted);
+}
+
+TEST(TaskSchedulerTest, UrgentJobsGoFirst) {
+  SchedulerHarness harness(1);
+  harness.Submit(Job("running", 2));
+  harness.Submit(Job("bulk", 2, 6'000, 2));
+  harness.Submit(Job("urgent", 2, 6'000, 0));
+  harness.Run(milliseconds(260));
+  EXPECT_EQ(harness.RunningOf("urgent"), 2U);
+  EXPECT_EQ(harness.RunningOf("bulk"), 0U);
+}
+
+TEST(TaskSchedulerTest, LaterStepsWaitForEarlierOnes) {
+  SchedulerHarness harness(4);
+  StepJob job = Job("j1", 2);
+  job.steps.push_back(job.steps[0]);
+  job.steps[1].after = {0};
+  harness.Submit(std::move(job));
+  EXPECT_EQ(harness.RunningOf("j1"), 2U);
+  harness.Run(milliseconds(260));
+  EXPECT_EQ(harness.RunningOf("j1"), 2U);
+  EXPECT_FALSE(harness.AnswerOf("j1"));
+  harness.Run(milliseconds(260));
+  EXPECT_TRUE(harness.AnswerOf("j1"));
+}
+
+TEST(TaskSchedulerTest, LabelsAndLimitsPerWorkerAreKept) {
+  SchedulerHarness harness(4);
+  StepJob job = Job("j1", 4, 1'000);
+  job.steps[0].required_label = "b";
+  job.steps[0].max_per_worker = 1;
+  harness.Submit(std::move(job));
+  EXPECT_EQ(harness.RunningOf("j1"), 2U);
+  EXPECT_EQ(harness.workers["w1"].running.size(), 1U);
+  EXPECT_EQ(harness.workers["w3"].running.size(), 1U);
+}
+
+TEST(TaskSchedulerTest, JobThatFitsNowhereIsRefusedAtOnce) {
+  SchedulerHarness harness(2);
+  harness.Submit(Job("j1", 1, 20'000));
+  ASSERT_TRUE(harness.AnswerOf("j1"));
+  EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kRefused);
+  EXPECT_EQ(harness.AnswerOf("j1")->reason, "never_fits");
+}
+
+// A job that cannot end in time is refused at once and told when to come back.
+TEST(TaskSchedulerTest, OverloadIsRefusedAtOnceAndNothingIsStarted) {
+  SchedulerHarness harness(1);
+  for (int i = 0; i < 12; ++i) harness.Submit(Job(fmt::format("j{}", i), 4));
+  int refused = 0;
+  for (const auto& [id, answer] : harness.answers) {
+    if (answer.reason != "overloaded") continue;
+    ++refused;
+    EXPECT_GT(answer.retry_after.count(), 0);
+    EXPECT_EQ(harness.RunningOf(id), 0U);
+  }
+  EXPECT_GT(refused, 0);
+  harness.Run(milliseconds(3000));
+  for (const auto& [id, answer] : harness.answers) {
+    if (answer.outcome != StepJobOutcome::kRefused) continue;
+    for (const auto& [name, worker] : harness.workers) {
+      for (const EndedTask& end : worker.ended) EXPECT_NE(end.task.job, id);
+    }
+  }
+}
+
+TEST(TaskSchedulerTest, FailedTaskIsTriedOnAnotherWorker) {
+  SchedulerHarness harness(2);
+  harness.failing = {"w0"};
+  harness.Submit(Job("j1", 1));
+  harness.Run(milliseconds(600));
+  ASSERT_TRUE(harness.AnswerOf("j1"));
+  EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kCompleted);
+}
+
+TEST(TaskSchedulerTest, JobFailsWhenItsAttemptsAreUsedUp) {
+  SchedulerHarness harness(2);
+  harness.failing = {"w0", "w1"};
+  harness.Submit(Job("j1", 1));
+  harness.Run(milliseconds(600));
+  ASSERT_TRUE(harness.AnswerOf("j1"));
+  EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kFailed);
+}
+
+TEST(TaskSchedulerTest, DrainingWorkerGetsNoTask) {
+  SchedulerHarness harness(2);
+  WorkerDescription leaving = Worker(0);
+  leaving.draining = true;
+  UpdateWorker(&harness.scheduler, leaving, harness.now);
+  harness.Submit(Job("j1", 4));
+  EXPECT_TRUE(harness.workers["w0"].running.empty());
+  EXPECT_EQ(harness.workers["w1"].running.size(), 2U);
+}
+
+// Entries lapse while the store is away and come back within two seconds.
+TEST(TaskSchedulerTest, UnlistedWorkerIsUsedForAWhile) {
+  SchedulerHarness harness(1);
+  UnlistWorker(&harness.scheduler, "w0", harness.now);
+  harness.Submit(Job("j1"));
+  EXPECT_EQ(harness.RunningOf("j1"), 1U);
+  harness.Run(milliseconds(3000));
+  harness.Submit(Job("j2"));
+  EXPECT_EQ(harness.RunningOf("j2"), 0U);
+}
+
+// A worker that is cut off runs on until its leases end.
+TEST(TaskSchedulerTest, TasksOfASilentWorkerMoveAfterTheirLeases) {
+  SchedulerHarness harness(2);
+  harness.run_time = milliseconds(5000);
+  harness.Submit(Job("j1", 1));
+  const std::string first = harness.workers["w0"].running.empty() ? "w1" : "w0";
+  const std::string other = first == "w0" ? "w1" : "w0";
+  harness.silent = {first};
+  harness.Run(milliseconds(600));
+  EXPECT_TRUE(harness.workers[other].running.empty());
+  harness.Run(milliseconds(900));
+  EXPECT_EQ(harness.workers[other].running.size(), 1U);
+}
+
+TEST(TaskSchedulerTest, ResubmittedJobIsJoinedAndAnsweredAgain) {
+  SchedulerHarness harness(2);
+  harness.Submit(Job("j1", 1));
+  harness.Submit(Job("j1", 1));
+  EXPECT_EQ(harness.RunningOf("j1"), 1U);
+  harness.Run(milliseconds(300));
+  harness.answers.clear();
+  harness.Submit(Job("j1", 1));
+  EXPECT_TRUE(harness.AnswerOf("j1"));
+  EXPECT_EQ(harness.RunningOf("j1"), 0U);
+}
+
+// A successor adopts what runs instead of starting it again.
+TEST(TaskSchedulerTest, SuccessorAdoptsRunningTasks) {
+  SchedulerHarness harness(2);
+  harness.Submit(Job("j1", 4));
+  ASSERT_EQ(harness.RunningOf("j1"), 4U);
+  TaskScheduler former = harness.scheduler;
+  harness.scheduler = {};
+  for (int i = 0; i < 2; ++i) {
+    UpdateWorker(&harness.scheduler, Worker(i), harness.now);
+  }
+  BeginScheduling(&harness.scheduler, kClaim + 1, harness.now);
+  StepJob again = Job("j1", 4);
+  again.generation = 1;
+  again.former_fence = kClaim;
+  harness.Submit(std::move(again));
+  harness.Run(milliseconds(400));
+  EXPECT_EQ(harness.scheduler.counts.adopted, 4U);
+  EXPECT_EQ(harness.scheduler.counts.starts, 0U);
+  EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kCompleted);
+}
+
+// A scheduler that is fenced out neither starts nor stops anything there.
+TEST(TaskSchedulerTest, FencedOutSchedulerLosesTheWorker) {
+  SchedulerHarness harness(1);
+  harness.workers["w0"].fence = kClaim + 5;
+  harness.Run(milliseconds(50));
+  harness.Submit(Job("j1"));
+  EXPECT_EQ(harness.RunningOf("j1"), 0U);
+  EXPECT_EQ(harness.scheduler.workers.at("w0").claim, ClaimState::kForeign);
+}
+
+// After a common loss of power the clocks may be behind the last token.
+TEST(TaskSchedulerTest, FirstClaimRisesAboveAnOldToken) {
+  SchedulerHarness harness(1);
+  harness.scheduler = {};
+  UpdateWorker(&harness.scheduler, Worker(0), harness.now);
+  harness.workers["w0"].fence = FencingToken{60'000} << 11;
+  BeginScheduling(&harness.scheduler, kClaim, harness.now);
+  harness.Run(milliseconds(200));
+  harness.Submit(Job("j1"));
+  EXPECT_EQ(harness.RunningOf("j1"), 1U);
+}
+
+TEST(TaskSchedulerTest, RunOfNoKnownJobIsStoppedAndBlocksTheWorkerUntilThen) {
+  SchedulerHarness harness(1);
+  StartOrder order;
+  order.task = {"unknown", 0, 0};
+  order.run = 1;
+  order.lease_end = harness.workers["w0"].now + milliseconds(900);
+  order.fence = kClaim;
+  fakes::LeaseWorkerRun run;
+  run.ends = WorkerTime(10'000);
+  fakes::Start(&harness.workers["w0"], order, run);
+  harness.Run(milliseconds(30));
+  harness.Submit(Job("j1"));
+  EXPECT_EQ(harness.RunningOf("j1"), 0U);
+  harness.run_time = milliseconds(5000);
+  harness.Run(milliseconds(400));
+  EXPECT_EQ(harness.RunningOf("unknown"), 0U);
+  EXPECT_EQ(harness.RunningOf("j1"), 1U);
+}
+
+TEST(TaskSchedulerTest, CancelledJobsTasksAreStopped) {
+  SchedulerHarness harness(2);
+  harness.run_time = milliseconds(5000);
+  harness.Submit(Job("j1", 2));
+  EXPECT_TRUE(CancelJob(&harness.scheduler, "j1"));
+  EXPECT_FALSE(CancelJob(&harness.scheduler, "j1"));
+  harness.Run(milliseconds(50));
+  EXPECT_EQ(harness.RunningOf("j1"), 0U);
+}
+
+TEST(TaskSchedulerTest, ExpiredJobIsRefusedOnlyIfNothingWasStarted) {
+  SchedulerHarness harness(1);
+  harness.run_time = milliseconds(5000);
+  StepJob started = Job("started", 2);
+  started.steps[0].estimate = milliseconds(5000);
+  started.remaining = milliseconds(6000);
+  harness.Submit(std::move(started));
+  StepJob waiting = Job("waiting", 1);
+  waiting.steps[0].estimate = milliseconds(1);
+  waiting.remaining = milliseconds(500);
+  harness.Submit(std::move(waiting));
+  harness.Run(milliseconds(700));
+  ASSERT_TRUE(harness.AnswerOf("waiting"));
+  EXPECT_EQ(harness.AnswerOf("waiting")->outcome, StepJobOutcome::kRefused);
+}
+
+}  // namespace
+}  // namespace sequoiapath
