Test the platform's daemons as real processes, and end a stop cleanly

Cause: no test ran the daemons as processes against the platform's protocol. The first run of the test of a planned stop showed exit code 134: destructors ran callbacks of open calls on state that was already freed.

Parts of the daemon whose callbacks may still come are not freed at the end of the process.

--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -729,7 +729,11 @@
 EntryDaemon::EntryDaemon(std::unique_ptr<internal::EntryDaemonState> state)
     : state(std::move(state)) {}
 
-EntryDaemon::~EntryDaemon() = default;
+EntryDaemon::~EntryDaemon() {
+  // Timers and open calls keep pointers to the state, so it is not freed; a
+  // daemon lives as long as its process.
+  static_cast<void>(this->state.release());
+}
 
 void EntryDaemon::BeginStop() {
   internal::EntryDaemonState* daemon = this->state.get();
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -384,7 +384,11 @@
 JobGateway::JobGateway(std::unique_ptr<internal::JobGatewayState> state)
     : state(std::move(state)) {}
 
-JobGateway::~JobGateway() = default;
+JobGateway::~JobGateway() {
+  // Timers and open calls keep pointers to the state, so it is not freed; it
+  // lives as long as its process.
+  static_cast<void>(this->state.release());
+}
 
 void JobGateway::Handle(const HttpRequest& request,
                         const HttpResponder& responder) {
--- a/packages/state/src/key_value_client.cc
+++ b/packages/state/src/key_value_client.cc
@@ -290,7 +290,11 @@
     std::unique_ptr<internal::KeyValueClientState> state)
     : state(std::move(state)) {}
 
-KeyValueClient::~KeyValueClient() = default;
+KeyValueClient::~KeyValueClient() {
+  // Timers and pending watches keep pointers to the state, so it is not freed;
+  // a client lives as long as its process.
+  static_cast<void>(this->state.release());
+}
 
 void KeyValueClient::Follow(std::string prefix, KeyValueObserver observer) {
   auto followed = std::make_unique<internal::FollowedPrefix>();
--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -156,7 +156,11 @@
     std::unique_ptr<internal::SchedulerServiceState> state)
     : state(std::move(state)) {}
 
-SchedulerService::~SchedulerService() = default;
+SchedulerService::~SchedulerService() {
+  // Timers and open calls keep pointers to the state, so it is not freed; it
+  // lives as long as its process.
+  static_cast<void>(this->state.release());
+}
 
 void SchedulerService::Begin(FencingToken claim) {
   BeginScheduling(&this->state->scheduler, claim, this->state->loop->Now());
--- /dev/null
+++ b/tests/process/platform_store_away.sh
@@ -0,0 +1,49 @@
+#!/usr/bin/env bash
+# Guards service while the platform's store is away: it refuses, then answers
+# nothing and forgets its watches, then discards its history; jobs go on, and a
+# configuration that comes after each outage is in force within three seconds.
+set -u
+cd "$(dirname "$0")/../.."
+source scripts/lib.sh
+source scripts/platform_lib.sh
+
+start_fake_platform 20500 9
+ports=(20600 20610)
+names=(heredia-1 cartago-1)
+for i in 0 1; do
+  write_entry_settings "${names[$i]}" "${names[$i]%-*}" "${ports[$i]}" "${ports[@]}"
+  start_entry "${names[$i]}"
+done
+wait_entries_ready "${ports[@]}" || exit 1
+platform_load --rate 10 --duration 14 127.0.0.1:20600 127.0.0.1:20610 >"$run_dir/load.txt" &
+load=$!
+pids+=($load)
+
+# in_force VERSION: says whether all daemons log this version.
+in_force() {
+  local name
+  for name in "${names[@]}"; do
+    grep -q "event=config_in_force version=$1 " "$run_dir/$name.log" || return 1
+  done
+}
+
+version=1
+for fault in busy silent; do
+  platform_control "{\"store\":\"$fault\"}" >/dev/null
+  sleep 3
+  platform_control '{"store":"none"}' >/dev/null
+  platform_control '{"config":true}' >/dev/null
+  version=$((version + 1))
+  wait_until 3 in_force $version
+  expect "version $version in force after the store was $fault" $? = 0
+done
+platform_control '{"compact":true}' >/dev/null
+platform_control '{"config":true}' >/dev/null
+wait_until 3 in_force $((version + 1))
+expect "version in force after the history was discarded" $? = 0
+wait $load
+line=$(cat "$run_dir/load.txt")
+echo "$line"
+expect "jobs completed" "$(load_count "$line" completed)" = "$(load_count "$line" sent)"
+expect_promises
+finish
