Elect as soon as all listed daemons are heard; refuse only what surely cannot end

Cause: after a loss of power of all VMs the last daemon was up at 43.78 s and the first claim came at 44.67 s (incident inc-b707): each waited 0.9 s. Jobs were refused because their estimate, which may be twice the truth, did not fit.

Change: a daemon settles 0.15 s after its start once every listed daemon was heard. Refusals take half of the longest chain of estimates as the time that a job surely needs.

--- a/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
+++ b/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
@@ -35,8 +35,10 @@
   // A daemon counts as a member for so long after it was last heard, if the
   // store does not list it.
   Duration memory = std::chrono::seconds(10);
-  // A new daemon waits so long for an existing scheduler to report.
+  // A new daemon waits so long for an existing scheduler to report,
   Duration settle = std::chrono::milliseconds(900);
+  // or only so long once every listed daemon has reported.
+  Duration settle_complete = std::chrono::milliseconds(150);
   // When all daemons start together, one waits so long for stronger ones to
   // settle.
   Duration wait_for_stronger = std::chrono::milliseconds(1800);
@@ -66,6 +68,7 @@
   DaemonReport self;
   std::map<std::string, ElectionPeer> peers;  // By VM, without this one.
   TimePoint started;
+  bool listing_known = false;
   TimePoint no_claim_before;
   SchedulerRole role = SchedulerRole::kFollower;
   std::string leader;  // VM; empty if none is known.
--- a/packages/coordination/include/sequoiapath/coordination/worker_runs.h
+++ b/packages/coordination/include/sequoiapath/coordination/worker_runs.h
@@ -120,7 +120,7 @@
 
 // Adds a run whose start order is about to be sent. Precondition: no run of the
 // task is on the worker.
-void AddRun(WorkerRuns* worker, const TaskName& task, WorkerRun run);
+void AddRun(WorkerRuns* worker, const TaskName& task, const WorkerRun& run);
 
 // Removes a run and returns it. Precondition: it is on the worker.
 WorkerRun RemoveRun(WorkerRuns* worker, const TaskName& task);
--- a/packages/coordination/src/scheduler_election.cc
+++ b/packages/coordination/src/scheduler_election.cc
@@ -93,9 +93,9 @@
 bool GoesBefore(const SchedulerElection& election, const ElectionPeer& peer,
                 TimePoint now) {
   if (!IsLivePeer(election, peer, now)) return false;
-  const bool waits = now - election.started < election.times.wait_for_stronger;
-  return (peer.report.settled || waits) &&
-         IsPreferred(peer.report, election.self);
+  if (peer.report.settled) return IsPreferred(peer.report, election.self);
+  return peer.report.weight > election.self.weight &&
+         now - election.started < election.times.wait_for_stronger;
 }
 
 bool IsNextScheduler(const SchedulerElection& election, TimePoint now) {
@@ -105,9 +105,19 @@
                       });
 }
 
+bool HeardAllListed(const SchedulerElection& election) {
+  return election.listing_known &&
+         std::all_of(election.peers.begin(), election.peers.end(),
+                     [](const auto& entry) {
+                       return !entry.second.listed || entry.second.heard;
+                     });
+}
+
 // A new daemon claims only once it had the time to hear of a scheduler.
 bool IsSettled(const SchedulerElection& election, TimePoint now) {
-  return now - election.started >= election.times.settle;
+  const Duration age = now - election.started;
+  if (election.self.settled || age >= election.times.settle) return true;
+  return age >= election.times.settle_complete && HeardAllListed(election);
 }
 
 // Says whether this daemon should take over from a scheduler that may not have
@@ -211,6 +221,7 @@
 
 void SetListedDaemons(SchedulerElection* election,
                       const std::vector<ListedDaemon>& listed) {
+  election->listing_known = true;
   for (auto& [vm, peer] : election->peers) peer.listed = false;
   for (const ListedDaemon& daemon : listed) {
     if (daemon.vm == election->self.vm) continue;
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -410,20 +410,6 @@
   }
 }
 
-milliseconds LongestChain(const StepJob& job) {
-  std::vector<milliseconds> chain(job.steps.size());
-  milliseconds longest(0);
-  for (std::size_t s = 0; s < job.steps.size(); ++s) {
-    milliseconds before(0);
-    for (const std::uint32_t earlier : job.steps[s].after) {
-      before = std::max(before, chain[earlier]);
-    }
-    chain[s] = before + job.steps[s].estimate;
-    longest = std::max(longest, chain[s]);
-  }
-  return longest;
-}
-
 void InitializeSteps(ScheduledJob* scheduled) {
   for (const JobStep& step : scheduled->job.steps) {
     ScheduledStep state;
@@ -466,7 +452,8 @@
                          kNeverFitsRetry};
   }
   const auto wait = ExpectedWait(scheduler, job, now);
-  if (!wait || *wait + LongestChain(job) <= job.remaining) return std::nullopt;
+  if (!wait || *wait + ShortestRunTime(job) <= job.remaining)
+    return std::nullopt;
   return StepJobAnswer{StepJobOutcome::kRefused, "overloaded", *wait};
 }
 
--- a/packages/coordination/src/worker_runs.cc
+++ b/packages/coordination/src/worker_runs.cc
@@ -126,9 +126,9 @@
   return room;
 }
 
-void AddRun(WorkerRuns* worker, const TaskName& task, WorkerRun run) {
+void AddRun(WorkerRuns* worker, const TaskName& task, const WorkerRun& run) {
   worker->used += run.demand;
-  const bool added = worker->runs.emplace(task, std::move(run)).second;
+  const bool added = worker->runs.emplace(task, run).second;
   assert(added);
   static_cast<void>(added);
 }
@@ -136,7 +136,7 @@
 WorkerRun RemoveRun(WorkerRuns* worker, const TaskName& task) {
   const auto found = worker->runs.find(task);
   assert(found != worker->runs.end());
-  WorkerRun run = std::move(found->second);
+  const WorkerRun run = found->second;
   worker->runs.erase(found);
   worker->used -= run.demand;
   if (run.orphan) --worker->orphans;
@@ -210,6 +210,7 @@
     run.lease_end = WorkerTime::max();
     run.stop_wanted = true;
   }
+  ended.reserve(gone.size());
   for (const TaskName& task : gone) {
     ended.push_back({task, RemoveRun(worker, task), RunEnd::kLapsed, true});
   }
--- a/packages/protocol/include/sequoiapath/protocol/step_job.h
+++ b/packages/protocol/include/sequoiapath/protocol/step_job.h
@@ -74,6 +74,14 @@
   std::uint64_t former_fence = 0;
 };
 
+// Returns a time that the job surely needs: half of its longest chain of
+// estimates, since declared run times may be twice the true ones. Thread-safe.
+std::chrono::milliseconds ShortestRunTime(const StepJob& job);
+
+// Returns the sum of the estimates along the longest chain of steps.
+// Precondition: steps name only earlier ones in `after`. Thread-safe.
+std::chrono::milliseconds LongestChain(const StepJob& job);
+
 enum class StepJobOutcome {
   kCompleted,  // All tasks have ended as done.
   kFailed,     // A task has used up its attempts.
--- a/packages/protocol/include/sequoiapath/protocol/worker_order.h
+++ b/packages/protocol/include/sequoiapath/protocol/worker_order.h
@@ -4,9 +4,9 @@
 #define SEQUOIAPATH_PROTOCOL_WORKER_ORDER_H_
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -29,7 +29,10 @@
   std::uint32_t step = 0;
   std::uint32_t index = 0;
 
-  friend auto operator<=>(const TaskName&, const TaskName&) = default;
+  friend bool operator==(const TaskName&, const TaskName&) = default;
+  friend bool operator<(const TaskName& a, const TaskName& b) {
+    return std::tie(a.job, a.step, a.index) < std::tie(b.job, b.step, b.index);
+  }
 };
 
 // A worker as it announces itself.
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -450,7 +450,7 @@
       DecodePeerMessage<StepJobAnswer>(std::get<HttpResponse>(result).body);
   if (auto* decoded = std::get_if<StepJobAnswer>(&answer)) {
     submission.delivered = true;
-    submission.answer = *std::move(decoded);
+    submission.answer = std::move(*decoded);
   }
   return submission;
 }
@@ -480,8 +480,9 @@
                             error != nullptr &&
                             (error->kind == HttpErrorKind::kClosed ||
                              error->kind == HttpErrorKind::kConnectFailed);
-                        if (process_ended)
+                        if (process_ended) {
                           RecordDaemonFailure(&daemon->election, leader);
+                        }
                         callback(ReadSubmissionResult(result));
                         if (process_ended) {
                           SendHeartbeats(daemon);
@@ -516,7 +517,7 @@
           .fence = [daemon] { return daemon->election.self.highest_fence; },
           .submit =
               [daemon](const std::string& leader, StepJob job,
-                       SubmissionCallback callback) {
+                       const SubmissionCallback& callback) {
                 SubmitToLeader(daemon, leader, std::move(job), callback);
               },
           .cancel =
@@ -657,28 +658,28 @@
   const EntrySettings& settings = daemon->settings;
   auto error = Listen(
       daemon, settings.peer_listen, kMaxPeerBody, kPeerIdleTimeout,
-      [daemon](const HttpRequest& request, HttpResponder responder) {
+      [daemon](const HttpRequest& request, const HttpResponder& responder) {
         HandlePeer(daemon, request, responder);
       },
       &daemon->peer_server);
   if (error) return error;
   error = Listen(
       daemon, settings.ready_listen, kMaxCallerBody, kCallerTimeout,
-      [daemon](const HttpRequest& request, HttpResponder responder) {
+      [daemon](const HttpRequest& request, const HttpResponder& responder) {
         HandleReady(daemon, request, responder);
       },
       &daemon->ready_server);
   if (error) return error;
   error = Listen(
       daemon, settings.metrics_listen, kMaxCallerBody, kCallerTimeout,
-      [daemon](const HttpRequest& /*request*/, HttpResponder responder) {
+      [daemon](const HttpRequest& /*request*/, const HttpResponder& responder) {
         HandleMetrics(daemon, responder);
       },
       &daemon->metrics_server);
   if (error) return error;
   return Listen(
       daemon, settings.caller_listen, kMaxCallerBody, kCallerTimeout,
-      [daemon](const HttpRequest& request, HttpResponder responder) {
+      [daemon](const HttpRequest& request, const HttpResponder& responder) {
         daemon->gateway->Handle(request, responder);
       },
       &daemon->caller_server);
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -170,14 +170,6 @@
       });
 }
 
-milliseconds TotalEstimate(const StepJob& job) {
-  milliseconds longest(0);
-  for (const JobStep& step : job.steps) {
-    longest = std::max(longest, step.estimate);
-  }
-  return longest;
-}
-
 // Ends jobs that have no answer in time.
 void ExpireJob(JobGatewayState* gateway, const std::string& id,
                const GatewayJob& job) {
@@ -196,7 +188,7 @@
 
 // A job that was never sent is refused as soon as it cannot end in time.
 bool IsHopeless(const GatewayJob& job, TimePoint now) {
-  return !job.ever_sent && now + TotalEstimate(job.job) > job.expires;
+  return !job.ever_sent && now + ShortestRunTime(job.job) > job.expires;
 }
 
 void SubmitWaiting(JobGatewayState* gateway) {
@@ -274,7 +266,7 @@
 bool OutlastsStop(const JobGatewayState& gateway, const StepJob& job) {
   if (!gateway.stop) return false;
   const Duration needed =
-      kStopEstimateFactor * TotalEstimate(job) + kStopReserve;
+      kStopEstimateFactor * LongestChain(job) + kStopReserve;
   return gateway.loop->Now() + needed > *gateway.stop;
 }
 
--- a/packages/state/src/key_value_client.cc
+++ b/packages/state/src/key_value_client.cc
@@ -159,12 +159,12 @@
   ++client->counts.ranges;
   const auto& items = followed->listing.items;
   const std::string after = items.empty() ? "" : items.back().key;
-  client->http->Send(client->codec.encode_range(followed->prefix, after),
-                     kCallTimeout, [client, followed](HttpResult result) {
-                       NoteResult(client, result);
-                       OnListed(client, followed,
-                                client->codec.decode_page(result));
-                     });
+  client->http->Send(
+      client->codec.encode_range(followed->prefix, after), kCallTimeout,
+      [client, followed](const HttpResult& result) {
+        NoteResult(client, result);
+        OnListed(client, followed, client->codec.decode_page(result));
+      });
 }
 
 void OnWatched(KeyValueClientState* client, FollowedPrefix* followed,
@@ -192,7 +192,7 @@
       followed->busy_pause ? kBusyWatchSlack : kCallTimeout;
   followed->watch = client->http->Send(
       client->codec.encode_watch(followed->prefix, followed->revision, wait),
-      wait + slack, [client, followed](HttpResult result) {
+      wait + slack, [client, followed](const HttpResult& result) {
         followed->watch = 0;
         if (std::exchange(followed->restart, false) &&
             std::holds_alternative<HttpError>(result)) {
@@ -228,7 +228,7 @@
   ++client->counts.writes;
   client->http->Send(
       client->codec.encode_put(client->kept.item, client->kept.lease),
-      kCallTimeout, [client](HttpResult result) {
+      kCallTimeout, [client](const HttpResult& result) {
         NoteResult(client, result);
         const auto failure = client->codec.decode_put(result);
         if (failure) {
@@ -248,7 +248,7 @@
   ++client->counts.writes;
   client->http->Send(
       client->codec.encode_grant(client->kept.ttl), kCallTimeout,
-      [client](HttpResult result) {
+      [client](const HttpResult& result) {
         NoteResult(client, result);
         const auto lease = client->codec.decode_lease(result);
         if (const auto* failure = std::get_if<KeyValueFailure>(&lease)) {
@@ -265,7 +265,7 @@
   ++client->counts.renewals;
   client->http->Send(
       client->codec.encode_renewal(client->kept.lease), kCallTimeout,
-      [client](HttpResult result) {
+      [client](const HttpResult& result) {
         NoteResult(client, result);
         const auto lease = client->codec.decode_lease(result);
         const auto* failure = std::get_if<KeyValueFailure>(&lease);
--- a/tests/correctness/scheduler_election_test.cc
+++ b/tests/correctness/scheduler_election_test.cc
@@ -27,7 +27,7 @@
       SchedulerElection election;
       election.self.vm = Name(i);
       election.self.data_centre = i < (count + 1) / 2 ? "heredia" : "cartago";
-      election.self.incarnation = static_cast<std::uint64_t>(i + 1);
+      election.self.incarnation = static_cast<std::uint64_t>(i) + 1;
       election.self.weight = weight;
       election.started = kStart;
       this->daemons.push_back(election);
@@ -85,6 +85,23 @@
   }
 }
 
+// After a loss of power of all daemons service begins as soon as they have
+// heard each other.
+TEST(SchedulerElectionTest, DaemonsThatStartTogetherElectAtOnce) {
+  ElectionGroup group(8);
+  group.Run(milliseconds(400));
+  EXPECT_EQ(group.Schedulers(), 1);
+}
+
+TEST(SchedulerElectionTest, MissingDaemonDelaysTheFirstClaimOnly) {
+  ElectionGroup group(8);
+  group.up[5] = false;
+  group.Run(milliseconds(400));
+  EXPECT_EQ(group.Schedulers(), 0);
+  group.Run(milliseconds(700));
+  EXPECT_EQ(group.Schedulers(), 1);
+}
+
 TEST(SchedulerElectionTest, StrongestDaemonSchedulesAfterACommonStart) {
   ElectionGroup group(6, 120);
   group.daemons[4].self.weight = 500;
