--- /dev/null
+++ b/tests/error/job_gateway_test.cc
@@ -0,0 +1,210 @@
+// Guards what callers are told when schedulers fail: a job is submitted again
+// with a higher generation, late answers of a former scheduler reach nobody, a
+// refusal is given only for a job that was never submitted, and a stop leaves
+// no request without an answer.
+
+#include "sequoiapath/state/job_gateway.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <vector>
+
+#include "loop_testing.h"
+#include "sequoiapath/platform/adapter.h"
+
+namespace sequoiapath {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kPath = "/check/5c0e7a21d94b36f8";
+constexpr const char* kBody =
+    R"({"spec":"text","bestEffort":true,"steps":[{"count":2,"estMs":100}]})";
+
+struct Submission {
+  std::string leader;
+  StepJob job;
+  SubmissionCallback callback;
+};
+
+class JobGatewayErrorTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    SchedulerAccess access{
+        .leader = [this] { return this->leader; },
+        .fence = [this] { return this->fence; },
+        .submit =
+            [this](const std::string& to, StepJob job,
+                   const SubmissionCallback& callback) {
+              this->submissions.push_back({to, std::move(job), callback});
+            },
+        .cancel =
+            [this](const std::string& to, const std::string& /*job*/) {
+              this->cancelled.push_back(to);
+            }};
+    this->gateway = JobGatewayBuilder(&this->loop, platform::MakeCallerCodec(),
+                                      std::move(access))
+                        .Build();
+    this->server = StartServer(
+        &this->loop,
+        [this](const HttpRequest& request, const HttpResponder& responder) {
+          this->gateway->Handle(request, responder);
+        });
+    this->client =
+        HttpClientBuilder(&this->loop, this->server->endpoint()).Build();
+  }
+
+  void SetRoutes() {
+    RouteTable routes;
+    routes.version = 1;
+    Route route;
+    route.host = "desk.example";
+    route.prefix = "/check/";
+    route.service = "desk";
+    routes.routes.push_back(route);
+    this->gateway->SetRoutes(std::move(routes));
+  }
+
+  // Sends a job; the response arrives in `response`.
+  void Post(milliseconds deadline, const std::string& body = kBody) {
+    HttpRequest request;
+    request.method = "POST";
+    request.path = kPath;
+    request.headers = {{"host", "desk.example"},
+                       {"x-deadline-ms", std::to_string(deadline.count())}};
+    request.body = body;
+    this->client->Send(
+        std::move(request), seconds(10), [this](const HttpResult& result) {
+          if (const auto* got = std::get_if<HttpResponse>(&result)) {
+            this->response = *got;
+          }
+        });
+  }
+
+  bool WaitForSubmissions(std::size_t count) {
+    return RunUntil(
+        &this->loop, [&] { return this->submissions.size() >= count; },
+        seconds(2));
+  }
+  bool WaitForResponse(Duration limit = seconds(2)) {
+    return RunUntil(
+        &this->loop, [this] { return this->response.has_value(); }, limit);
+  }
+
+  static SubmissionResult Delivered(StepJobOutcome outcome) {
+    return {true, {outcome, "test", milliseconds(0)}, true};
+  }
+
+  EventLoop loop;
+  std::string leader = "vm-1";
+  FencingToken fence = 5;
+  std::vector<Submission> submissions;
+  std::vector<std::string> cancelled;
+  std::unique_ptr<JobGateway> gateway;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<HttpClient> client;
+  std::optional<HttpResponse> response;
+};
+
+TEST_F(JobGatewayErrorTest, RefusesWithoutAConfiguration) {
+  this->Post(seconds(2));
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->status, 503);
+  EXPECT_TRUE(this->submissions.empty());
+}
+
+TEST_F(JobGatewayErrorTest, ReturnsTheSchedulersAnswer) {
+  this->SetRoutes();
+  this->Post(seconds(2));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  EXPECT_EQ(this->submissions[0].job.generation, 0U);
+  EXPECT_LE(this->submissions[0].job.remaining, milliseconds(2000));
+  this->submissions[0].callback(Delivered(StepJobOutcome::kCompleted));
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->status, 200);
+}
+
+// The scheduler's process ended: its successor gets the job with a higher
+// generation and the token of the former one, and its answer counts.
+TEST_F(JobGatewayErrorTest, SubmitsAgainToASuccessor) {
+  this->SetRoutes();
+  this->Post(seconds(3));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  this->leader = "vm-2";
+  this->submissions[0].callback({false, {}, true});
+  ASSERT_TRUE(this->WaitForSubmissions(2));
+  EXPECT_EQ(this->submissions[1].leader, "vm-2");
+  EXPECT_EQ(this->submissions[1].job.generation, 1U);
+  EXPECT_EQ(this->submissions[1].job.former_fence, 5U);
+  // The former scheduler may still be there.
+  EXPECT_EQ(this->cancelled, std::vector<std::string>{"vm-1"});
+  this->submissions[0].callback(Delivered(StepJobOutcome::kFailed));
+  RunFor(&this->loop, milliseconds(50));
+  EXPECT_FALSE(this->response);
+  this->submissions[1].callback(Delivered(StepJobOutcome::kCompleted));
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->body, R"({"state":"completed"})");
+}
+
+TEST_F(JobGatewayErrorTest, LeaderChangeMovesOutstandingJobs) {
+  this->SetRoutes();
+  this->Post(seconds(3));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  this->leader = "vm-2";
+  this->gateway->LeaderChanged();
+  ASSERT_TRUE(this->WaitForSubmissions(2));
+  EXPECT_EQ(this->submissions[1].leader, "vm-2");
+}
+
+// Nothing was submitted, so the refusal as not run is true.
+TEST_F(JobGatewayErrorTest, RefusesAsNotRunIfNoSchedulerIsFound) {
+  this->SetRoutes();
+  this->leader.clear();
+  this->Post(milliseconds(400));
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->status, 503);
+  EXPECT_TRUE(FindHeader(this->response->headers, "retry-after"));
+  EXPECT_TRUE(this->submissions.empty());
+}
+
+// A job that was submitted may have run.
+TEST_F(JobGatewayErrorTest, DeadlineOfASubmittedJobIsNoRefusal) {
+  this->SetRoutes();
+  this->Post(milliseconds(200));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->status, 504);
+  EXPECT_EQ(this->cancelled, std::vector<std::string>{"vm-1"});
+}
+
+TEST_F(JobGatewayErrorTest, StopRefusesWhatCannotEndAndAnswersTheRest) {
+  this->SetRoutes();
+  this->Post(seconds(5));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  this->gateway->BeginStop(this->loop.Now() + milliseconds(100));
+  this->gateway->EndJobs();
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->status, 504);
+  this->response.reset();
+  this->Post(seconds(5));
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->status, 503);
+  EXPECT_EQ(this->submissions.size(), 1U);
+}
+
+TEST_F(JobGatewayErrorTest, RefusesMalformedAndUnknownRequests) {
+  this->SetRoutes();
+  this->Post(seconds(2), "{");
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->status, 400);
+  this->response.reset();
+  this->Post(seconds(2), R"({"steps":[{"count":1}]})");
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->status, 503);
+  EXPECT_TRUE(this->submissions.empty());
+}
+
+}  // namespace
+}  // namespace sequoiapath
--- /dev/null
+++ b/tests/error/key_value_client_test.cc
@@ -0,0 +1,170 @@
+// Guards the store client under failures: a watch that the store forgot, a
+// discarded history, refused calls, and a lease that ended.
+
+#include "sequoiapath/state/key_value_client.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "fake_store.h"
+#include "loop_testing.h"
+#include "sequoiapath/platform/adapter.h"
+
+namespace sequoiapath {
+namespace {
+
+using platform::testing::Compact;
+using platform::testing::FakePlatformStore;
+using platform::testing::HandleStoreCall;
+using platform::testing::PutItem;
+using platform::testing::RemoveItem;
+using platform::testing::SetStoreFault;
+using platform::testing::StoreFault;
+using platform::testing::TickStore;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Bounds how long a change may take to be known after an outage.
+constexpr Duration kKnownWithin = seconds(3);
+
+class KeyValueClientErrorTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    this->store.loop = &this->loop;
+    this->server = StartServer(
+        &this->loop,
+        [this](const HttpRequest& request, const HttpResponder& responder) {
+          HandleStoreCall(&this->store, request, responder);
+        },
+        seconds(60));
+    this->Tick();
+    this->client = KeyValueClientBuilder(&this->loop, this->server->endpoint(),
+                                         platform::MakeKeyValueCodec())
+                       .Build();
+  }
+
+  void Tick() {
+    TickStore(&this->store);
+    this->loop.Schedule(milliseconds(20), [this] { this->Tick(); });
+  }
+
+  void Follow(const std::string& prefix) {
+    this->client->Follow(prefix,
+                         [this](const KeyValuePage& page, bool complete) {
+                           if (complete) this->known.clear();
+                           for (const KeyValueItem& item : page.items) {
+                             this->known[item.key] = item.value;
+                           }
+                           for (const std::string& key : page.removed)
+                             this->known.erase(key);
+                         });
+  }
+
+  bool WaitFor(const std::string& key, const std::string& value,
+               Duration limit = kKnownWithin) {
+    return RunUntil(
+        &this->loop,
+        [&] {
+          const auto found = this->known.find(key);
+          return found != this->known.end() && found->second == value;
+        },
+        limit);
+  }
+
+  EventLoop loop;
+  FakePlatformStore store;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<KeyValueClient> client;
+  std::map<std::string, std::string> known;
+};
+
+TEST_F(KeyValueClientErrorTest, ListsAndFollowsAPrefix) {
+  PutItem(&this->store, "k/1", "a");
+  PutItem(&this->store, "other", "x");
+  this->Follow("k/");
+  EXPECT_TRUE(this->WaitFor("k/1", "a"));
+  PutItem(&this->store, "k/2", "b");
+  EXPECT_TRUE(this->WaitFor("k/2", "b", milliseconds(500)));
+  RemoveItem(&this->store, "k/1");
+  EXPECT_TRUE(RunUntil(
+      &this->loop, [this] { return this->known.size() == 1; },
+      milliseconds(500)));
+  EXPECT_FALSE(this->known.contains("other"));
+}
+
+// A silent store forgets a pending watch, but its connection stays open.
+TEST_F(KeyValueClientErrorTest, WatchIsSentAgainAfterASilentStore) {
+  PutItem(&this->store, "k/1", "a");
+  this->Follow("k/");
+  ASSERT_TRUE(this->WaitFor("k/1", "a"));
+  this->client->Keep({"d/vm-1", "x"}, seconds(3));
+  RunFor(&this->loop, milliseconds(200));
+  SetStoreFault(&this->store, StoreFault::kSilent);
+  RunFor(&this->loop, milliseconds(3500));
+  SetStoreFault(&this->store, StoreFault::kNone);
+  PutItem(&this->store, "k/1", "b");
+  EXPECT_TRUE(this->WaitFor("k/1", "b"));
+}
+
+TEST_F(KeyValueClientErrorTest, BusyPrefixTakesSilenceForAnOutage) {
+  this->client->FollowBusy(
+      "k/", [] { return milliseconds(50); },
+      [this](const KeyValuePage& page, bool /*complete*/) {
+        for (const KeyValueItem& item : page.items) {
+          this->known[item.key] = item.value;
+        }
+      });
+  PutItem(&this->store, "k/1", "a");
+  ASSERT_TRUE(this->WaitFor("k/1", "a"));
+  SetStoreFault(&this->store, StoreFault::kSilent);
+  RunFor(&this->loop, milliseconds(300));
+  SetStoreFault(&this->store, StoreFault::kNone);
+  PutItem(&this->store, "k/1", "b");
+  EXPECT_TRUE(this->WaitFor("k/1", "b"));
+}
+
+TEST_F(KeyValueClientErrorTest, ListsAgainWhenTheHistoryIsDiscarded) {
+  PutItem(&this->store, "k/1", "a");
+  this->Follow("k/");
+  ASSERT_TRUE(this->WaitFor("k/1", "a"));
+  SetStoreFault(&this->store, StoreFault::kBusy);
+  Compact(&this->store);
+  this->store.watches.clear();
+  PutItem(&this->store, "k/2", "b");
+  RemoveItem(&this->store, "k/1");
+  Compact(&this->store);
+  this->client->Keep({"d/vm-1", "x"}, seconds(3));
+  RunFor(&this->loop, milliseconds(300));
+  SetStoreFault(&this->store, StoreFault::kNone);
+  PutItem(&this->store, "k/3", "c");
+  EXPECT_TRUE(this->WaitFor("k/3", "c", seconds(20)));
+  EXPECT_TRUE(this->known.contains("k/2"));
+  EXPECT_FALSE(this->known.contains("k/1"));
+}
+
+// The store may take a lease away although it is renewed.
+TEST_F(KeyValueClientErrorTest, KeptKeyIsWrittenAgainAfterItsLeaseEnded) {
+  this->client->Keep({"d/vm-1", "x"}, milliseconds(900));
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return this->store.items.contains("d/vm-1"); }));
+  this->store.leases.clear();
+  RemoveItem(&this->store, "d/vm-1");
+  EXPECT_TRUE(RunUntil(
+      &this->loop, [this] { return this->store.items.contains("d/vm-1"); }));
+}
+
+TEST_F(KeyValueClientErrorTest, EndedLeaseRemovesTheKeyAtOnce) {
+  this->client->Keep({"d/vm-1", "x"}, seconds(5));
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return this->store.items.contains("d/vm-1"); }));
+  RunFor(&this->loop, milliseconds(100));
+  this->client->EndLease();
+  EXPECT_TRUE(RunUntil(
+      &this->loop, [this] { return !this->store.items.contains("d/vm-1"); },
+      milliseconds(500)));
+}
+
+}  // namespace
+}  // namespace sequoiapath
