Wait for the workers of a former scheduler that this one has forgotten

Change: a job that is submitted again names the workers that its daemon knew at the last submission; its tasks start when each of them is known and its list is, or after 1.8 s.

--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -512,6 +512,15 @@
 bool MayStartTasks(const TaskScheduler& scheduler, const ScheduledJob& job,
                    TimePoint now) {
   if (now >= job.uncertain_until) return true;
+  // The store's entry of a worker that was cut off lapses, and the worker is
+  // forgotten here while it still runs what the other side started.
+  const auto is_unknown = [&scheduler](const std::string& id) {
+    return !scheduler.workers.contains(id);
+  };
+  if (std::any_of(job.job.former_workers.begin(), job.job.former_workers.end(),
+                  is_unknown)) {
+    return false;
+  }
   return std::all_of(
       scheduler.workers.begin(), scheduler.workers.end(),
       [&](const auto& entry) { return ShowsRunsOf(entry.second, job); });
--- a/packages/protocol/include/sequoiapath/protocol/step_job.h
+++ b/packages/protocol/include/sequoiapath/protocol/step_job.h
@@ -72,6 +72,9 @@
   std::uint32_t generation = 0;
   // Highest fencing token of the schedulers that had the job before.
   std::uint64_t former_fence = 0;
+  // Ids of the workers that the former schedulers may have used; empty for a
+  // first submission.
+  std::vector<std::string> former_workers;
 };
 
 // Returns a time that the job surely needs: half of its longest chain of
--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -83,7 +83,7 @@
                    m.required_label, m.preferred_rack, m.max_per_worker)
 SEQUOIAPATH_FIELDS(StepJob, m.id, m.spec, m.steps, m.service, m.priority,
                    m.max_attempts, m.stretch, m.slack, m.remaining, m.age,
-                   m.generation, m.former_fence)
+                   m.generation, m.former_fence, m.former_workers)
 SEQUOIAPATH_FIELDS(StepJobAnswer, m.outcome, m.reason, m.retry_after)
 SEQUOIAPATH_FIELDS(WorkerEntry, m.id, m.value)
 SEQUOIAPATH_FIELDS(CatalogRequest, m.vm)
--- a/packages/state/include/sequoiapath/state/job_gateway.h
+++ b/packages/state/include/sequoiapath/state/job_gateway.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "sequoiapath/protocol/caller_codec.h"
 #include "sequoiapath/protocol/route_table.h"
@@ -41,6 +42,8 @@
   std::function<std::string()> leader;
   // Returns the highest fencing token that any scheduler is known to use.
   std::function<FencingToken()> fence;
+  // Returns the ids of the workers that are known now.
+  std::function<std::shared_ptr<const std::vector<std::string>>()> workers;
   // Submits to the leader; calls back once, possibly at once.
   std::function<void(const std::string& leader, StepJob job,
                      SubmissionCallback callback)>
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -79,6 +79,7 @@
   EntryCodecs codecs;
   EntryCatalog catalog;
   SchedulerElection election;
+  std::shared_ptr<const std::vector<std::string>> worker_ids;
   std::map<std::string, std::string> daemon_entries;  // Key to value.
   std::map<std::string, PeerLink> links;              // By VM.
   std::unique_ptr<PeerClient> peers;
@@ -129,6 +130,13 @@
   for (const std::string& id : change.removed) {
     daemon->service->UnlistWorker(id);
   }
+  if (!change.updated.empty() || !change.removed.empty()) {
+    std::vector<std::string> ids;
+    ids.reserve(daemon->catalog.workers.size());
+    for (const auto& [id, value] : daemon->catalog.workers) ids.push_back(id);
+    daemon->worker_ids =
+        std::make_shared<const std::vector<std::string>>(std::move(ids));
+  }
   UpdateOwnReport(daemon);
 }
 
@@ -515,6 +523,7 @@
 SchedulerAccess MakeAccess(EntryDaemonState* daemon) {
   return {.leader = [daemon] { return daemon->election.leader; },
           .fence = [daemon] { return daemon->election.self.highest_fence; },
+          .workers = [daemon] { return daemon->worker_ids; },
           .submit =
               [daemon](const std::string& leader, StepJob job,
                        const SubmissionCallback& callback) {
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -41,6 +41,8 @@
   TimePoint expires;
   std::string submitted_to;      // Empty: waits for a scheduler.
   std::string former_scheduler;  // That it was submitted to last.
+  // Known at the last submission.
+  std::shared_ptr<const std::vector<std::string>> former_workers;
   std::uint64_t submission = 0;  // Tells late results of earlier ones apart.
   bool ever_sent = false;
   std::uint32_t submissions = 0;
@@ -155,6 +157,9 @@
   }
   job->former_scheduler = leader;
   StepJob copy = job->job;
+  if (job->former_workers != nullptr)
+    copy.former_workers = *job->former_workers;
+  job->former_workers = gateway->access.workers();
   job->job.former_fence =
       std::max(job->job.former_fence, gateway->access.fence());
   copy.age = std::chrono::duration_cast<milliseconds>(now - job->arrived);
@@ -300,6 +305,7 @@
                       .expires = now + timeout,
                       .submitted_to = "",
                       .former_scheduler = "",
+                      .former_workers = nullptr,
                       .submission = 0,
                       .ever_sent = false,
                       .submissions = 0};
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -318,6 +318,22 @@
   EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kCompleted);
 }
 
+// The entry of a worker that was cut off lapses, so the scheduler on the other
+// side has forgotten the worker while it still runs a task of the job.
+TEST(TaskSchedulerTest, TasksWaitWhileAFormerWorkerIsUnknown) {
+  SchedulerHarness harness(2);
+  StepJob job = Job("j1");
+  job.generation = 1;
+  job.former_fence = kClaim - 1;
+  job.former_workers = {"w0", "w1", "w-forgotten"};
+  job.remaining = milliseconds(5000);
+  harness.Submit(std::move(job));
+  harness.Run(milliseconds(1700));
+  EXPECT_EQ(harness.RunningOf("j1"), 0U);
+  harness.Run(milliseconds(200));
+  EXPECT_EQ(harness.RunningOf("j1"), 1U);
+}
+
 // A scheduler that is fenced out neither starts nor stops anything there.
 TEST(TaskSchedulerTest, FencedOutSchedulerLosesTheWorker) {
   SchedulerHarness harness(1);
--- a/tests/error/job_gateway_test.cc
+++ b/tests/error/job_gateway_test.cc
@@ -35,6 +35,7 @@
     SchedulerAccess access{
         .leader = [this] { return this->leader; },
         .fence = [this] { return this->fence; },
+        .workers = [this] { return this->workers; },
         .submit =
             [this](const std::string& to, StepJob job,
                    const SubmissionCallback& callback) {
@@ -100,6 +101,8 @@
   EventLoop loop;
   std::string leader = "vm-1";
   FencingToken fence = 5;
+  std::shared_ptr<const std::vector<std::string>> workers =
+      std::make_shared<const std::vector<std::string>>(1, "w1");
   std::vector<Submission> submissions;
   std::vector<std::string> cancelled;
   std::unique_ptr<JobGateway> gateway;
@@ -138,6 +141,8 @@
   EXPECT_EQ(this->submissions[1].leader, "vm-2");
   EXPECT_EQ(this->submissions[1].job.generation, 1U);
   EXPECT_EQ(this->submissions[1].job.former_fence, 5U);
+  EXPECT_TRUE(this->submissions[0].job.former_workers.empty());
+  EXPECT_EQ(this->submissions[1].job.former_workers, *this->workers);
   // The former scheduler may still be there.
   EXPECT_EQ(this->cancelled, std::vector<std::string>{"vm-1"});
   this->submissions[0].callback(Delivered(StepJobOutcome::kFailed));
