--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -452,8 +452,9 @@
                          kNeverFitsRetry};
   }
   const auto wait = ExpectedWait(scheduler, job, now);
-  if (!wait || *wait + ShortestRunTime(job) <= job.remaining)
+  if (!wait || *wait + ShortestRunTime(job) <= job.remaining) {
     return std::nullopt;
+  }
   return StepJobAnswer{StepJobOutcome::kRefused, "overloaded", *wait};
 }
 
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -571,7 +571,7 @@
   const std::string origin(
       FindHeader(request.headers, kOriginHeader).value_or(""));
   daemon->service->Submit(
-      *std::move(decoded), origin, [responder](const StepJobAnswer& answer) {
+      std::move(*decoded), origin, [responder](const StepJobAnswer& answer) {
         responder.Respond(PeerReply(EncodePeerMessage(answer)));
       });
 }
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -157,8 +157,9 @@
   }
   job->former_scheduler = leader;
   StepJob copy = job->job;
-  if (job->former_workers != nullptr)
+  if (job->former_workers != nullptr) {
     copy.former_workers = *job->former_workers;
+  }
   job->former_workers = gateway->access.workers();
   job->job.former_fence =
       std::max(job->job.former_fence, gateway->access.fence());
--- a/tests/error/key_value_client_test.cc
+++ b/tests/error/key_value_client_test.cc
@@ -57,8 +57,9 @@
                            for (const KeyValueItem& item : page.items) {
                              this->known[item.key] = item.value;
                            }
-                           for (const std::string& key : page.removed)
+                           for (const std::string& key : page.removed) {
                              this->known.erase(key);
+                           }
                          });
   }
 
