Do not answer an expired job with the scheduler's reply to its cancel

Cause: a scheduler in the daemon's own process answers a cancel at once, so a job that had no answer 50 ms after its deadline was answered 200 with the state cancelled instead of 504, and the table of jobs could change under the caller that leaves.

Change: the result of a submission that is cancelled is ignored.

--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -176,13 +176,19 @@
       });
 }
 
+// Tells the scheduler that a job is over. Its answer is ignored; a scheduler in
+// this process gives it at once.
+void CancelSubmission(JobGatewayState* gateway, GatewayJob* job) {
+  job->submission = 0;
+  if (job->submitted_to.empty()) return;
+  gateway->access.cancel(job->submitted_to, job->job.id);
+}
+
 // Ends jobs that have no answer in time.
 void ExpireJob(JobGatewayState* gateway, const std::string& id,
-               const GatewayJob& job) {
-  if (job.ever_sent) {
-    if (!job.submitted_to.empty()) {
-      gateway->access.cancel(job.submitted_to, id);
-    }
+               GatewayJob* job) {
+  if (job->ever_sent) {
+    CancelSubmission(gateway, job);
     AnswerCaller(
         gateway, id,
         {StepJobOutcome::kExpired, "deadline_exceeded", milliseconds(0)});
@@ -209,7 +215,7 @@
     if (found == gateway->jobs.end()) continue;
     GatewayJob& job = found->second;
     if (now >= job.expires || IsHopeless(job, now)) {
-      ExpireJob(gateway, id, job);
+      ExpireJob(gateway, id, &job);
     } else if (!leader.empty()) {
       SubmitTo(gateway, &job, leader);
     }
@@ -236,7 +242,7 @@
         if (found == gateway->jobs.end() || found->second.expires != expires) {
           return;
         }
-        ExpireJob(gateway, id, found->second);
+        ExpireJob(gateway, id, &found->second);
       });
 }
 
@@ -248,11 +254,9 @@
     if (found == gateway->jobs.end()) return;
     Log(LogLevel::kInfo, "caller_left",
         {{"id", id}, {"scheduler", found->second.submitted_to}});
-    if (!found->second.submitted_to.empty()) {
-      gateway->access.cancel(found->second.submitted_to, id);
-    }
+    CancelSubmission(gateway, &found->second);
     ++gateway->counts.cancelled;
-    gateway->jobs.erase(found);
+    gateway->jobs.erase(id);
   });
 }
 
@@ -368,9 +372,7 @@
     RespondText(responder, kStatusGone, "no such job");
     return;
   }
-  if (!found->second.submitted_to.empty()) {
-    gateway->access.cancel(found->second.submitted_to, id);
-  }
+  CancelSubmission(gateway, &found->second);
   const StepJobAnswer cancelled{StepJobOutcome::kCancelled, "cancelled",
                                 milliseconds(0)};
   AnswerCaller(gateway, id, cancelled);
@@ -445,7 +447,7 @@
   std::vector<std::string> left;
   for (const auto& [id, job] : this->state->jobs) left.push_back(id);
   for (const std::string& id : left) {
-    internal::ExpireJob(this->state.get(), id, this->state->jobs.at(id));
+    internal::ExpireJob(this->state.get(), id, &this->state->jobs.at(id));
   }
 }
 
--- a/tests/error/job_gateway_test.cc
+++ b/tests/error/job_gateway_test.cc
@@ -44,6 +44,9 @@
         .cancel =
             [this](const std::string& to, const std::string& /*job*/) {
               this->cancelled.push_back(to);
+              if (!this->answers_cancel) return;
+              this->submissions.back().callback(
+                  Delivered(StepJobOutcome::kCancelled));
             }};
     this->gateway = JobGatewayBuilder(&this->loop, platform::MakeCallerCodec(),
                                       std::move(access))
@@ -105,6 +108,7 @@
       std::make_shared<const std::vector<std::string>>(1, "w1");
   std::vector<Submission> submissions;
   std::vector<std::string> cancelled;
+  bool answers_cancel = false;
   std::unique_ptr<JobGateway> gateway;
   std::unique_ptr<HttpServer> server;
   std::unique_ptr<HttpClient> client;
@@ -199,6 +203,19 @@
   EXPECT_EQ(this->submissions.size(), 1U);
 }
 
+// A scheduler in the same process answers a cancel at once. The answer must
+// neither reach the caller in place of the deadline's, nor remove the job
+// twice.
+TEST_F(JobGatewayErrorTest, CancelThatIsAnsweredAtOnceIsNoAnswerToTheCaller) {
+  this->SetRoutes();
+  this->answers_cancel = true;
+  this->Post(milliseconds(200));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->status, 504);
+  EXPECT_EQ(this->cancelled.size(), 1U);
+}
+
 TEST_F(JobGatewayErrorTest, RefusesMalformedAndUnknownRequests) {
   this->SetRoutes();
   this->Post(seconds(2), "{");
