Do not count the failure of a former process against its successor

Cause: after a power failure of all VMs, connections to the former processes are reset 100 to 300 ms after the new ones have reported. Change: a failure counts only against the incarnation that had reported when the call was sent. The new test fails without that check.

--- a/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
+++ b/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
@@ -90,7 +90,15 @@
                   TimePoint now);
 
 // Records that a daemon's connection was refused or reset: its process ended.
-void RecordDaemonFailure(SchedulerElection* election, const std::string& vm);
+// `incarnation` is that of the latest report when the call was sent, zero if
+// there was none. If another one has reported since, the failure says nothing
+// about it and is ignored.
+void RecordDaemonFailure(SchedulerElection* election, const std::string& vm,
+                         std::uint64_t incarnation);
+
+// Returns the incarnation in the daemon's latest report, zero if there is none.
+std::uint64_t IncarnationOf(const SchedulerElection& election,
+                            const std::string& vm);
 
 // Says whether a daemon was heard lately; a stopping one still has jobs.
 bool IsReachable(const SchedulerElection& election, const std::string& vm,
--- a/packages/coordination/src/scheduler_election.cc
+++ b/packages/coordination/src/scheduler_election.cc
@@ -246,13 +246,21 @@
       {election->self.highest_fence, report.highest_fence, report.claim});
 }
 
-void RecordDaemonFailure(SchedulerElection* election, const std::string& vm) {
+void RecordDaemonFailure(SchedulerElection* election, const std::string& vm,
+                         std::uint64_t incarnation) {
   const auto found = election->peers.find(vm);
   if (found == election->peers.end()) return;
+  if (found->second.report.incarnation != incarnation) return;
   found->second.heard = false;
   found->second.report.claim = 0;
 }
 
+std::uint64_t IncarnationOf(const SchedulerElection& election,
+                            const std::string& vm) {
+  const auto found = election.peers.find(vm);
+  return found == election.peers.end() ? 0 : found->second.report.incarnation;
+}
+
 bool IsLive(const SchedulerElection& election, const std::string& vm,
             TimePoint now) {
   if (vm == election.self.vm) return true;
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -256,8 +256,9 @@
   PullCatalog(daemon, report);
 }
 
+// `incarnation` is that of the daemon when the heartbeat was sent.
 void OnHeartbeatReply(EntryDaemonState* daemon, const std::string& vm,
-                      const HttpResult& result) {
+                      std::uint64_t incarnation, const HttpResult& result) {
   PeerLink& link = daemon->links[vm];
   link.heartbeat_in_flight = false;
   const auto* response = std::get_if<HttpResponse>(&result);
@@ -265,7 +266,7 @@
     ++daemon->counts.heartbeats_failed;
     const auto* error = std::get_if<HttpError>(&result);
     if (error != nullptr && error->kind != HttpErrorKind::kTimeout) {
-      RecordDaemonFailure(&daemon->election, vm);
+      RecordDaemonFailure(&daemon->election, vm, incarnation);
     }
     link.suspect = true;
     RunElectionNow(daemon);
@@ -291,9 +292,10 @@
   PeerCall call{.path = kReportPath,
                 .headers = {},
                 .body = EncodePeerMessage(daemon->election.self)};
+  const std::uint64_t incarnation = IncarnationOf(daemon->election, vm);
   daemon->peers->Call(endpoint, std::move(call), kHeartbeatTimeout,
-                      [daemon, vm](const HttpResult& result) {
-                        OnHeartbeatReply(daemon, vm, result);
+                      [daemon, vm, incarnation](const HttpResult& result) {
+                        OnHeartbeatReply(daemon, vm, incarnation, result);
                       });
 }
 
@@ -481,22 +483,23 @@
   PeerCall call{.path = kSubmitPath,
                 .headers = {{kOriginHeader, OwnOrigin(*daemon)}},
                 .body = EncodePeerMessage(job)};
-  daemon->peers->Call(*endpoint, std::move(call), timeout,
-                      [daemon, leader, callback](const HttpResult& result) {
-                        const auto* error = std::get_if<HttpError>(&result);
-                        const bool process_ended =
-                            error != nullptr &&
-                            (error->kind == HttpErrorKind::kClosed ||
-                             error->kind == HttpErrorKind::kConnectFailed);
-                        if (process_ended) {
-                          RecordDaemonFailure(&daemon->election, leader);
-                        }
-                        callback(ReadSubmissionResult(result));
-                        if (process_ended) {
-                          SendHeartbeats(daemon);
-                          RunElectionNow(daemon);
-                        }
-                      });
+  const std::uint64_t incarnation = IncarnationOf(daemon->election, leader);
+  daemon->peers->Call(
+      *endpoint, std::move(call), timeout,
+      [daemon, leader, incarnation, callback](const HttpResult& result) {
+        const auto* error = std::get_if<HttpError>(&result);
+        const bool process_ended =
+            error != nullptr && (error->kind == HttpErrorKind::kClosed ||
+                                 error->kind == HttpErrorKind::kConnectFailed);
+        if (process_ended) {
+          RecordDaemonFailure(&daemon->election, leader, incarnation);
+        }
+        callback(ReadSubmissionResult(result));
+        if (process_ended) {
+          SendHeartbeats(daemon);
+          RunElectionNow(daemon);
+        }
+      });
 }
 
 void CancelAtLeader(EntryDaemonState* daemon, const std::string& leader,
--- a/tests/correctness/scheduler_election_test.cc
+++ b/tests/correctness/scheduler_election_test.cc
@@ -140,13 +140,31 @@
   group.Run(seconds(4));
   group.up[0] = false;
   for (auto& daemon : group.daemons) {
-    RecordDaemonFailure(&daemon, ElectionGroup::Name(0));
+    RecordDaemonFailure(&daemon, ElectionGroup::Name(0),
+                        IncarnationOf(daemon, ElectionGroup::Name(0)));
   }
   group.Run(milliseconds(100));
   EXPECT_EQ(group.Schedulers(), 1);
   EXPECT_EQ(group.daemons[2].leader, ElectionGroup::Name(1));
 }
 
+// After a restart of all daemons, connections to former processes fail late. If
+// that counted against the new process, a second scheduler would claim.
+TEST(SchedulerElectionTest, FailureOfAFormerProcessIsNoFailureOfItsSuccessor) {
+  ElectionGroup group(4);
+  group.Run(seconds(4));
+  const std::string name = ElectionGroup::Name(0);
+  const std::uint64_t former = IncarnationOf(group.daemons[1], name);
+  group.daemons[0].self.incarnation = former + 100;
+  group.Run(milliseconds(50));
+  RecordDaemonFailure(&group.daemons[1], name, former);
+  RecordDaemonFailure(&group.daemons[2], name, 0);
+  EXPECT_TRUE(IsLive(group.daemons[1], name, group.now));
+  EXPECT_TRUE(IsLive(group.daemons[2], name, group.now));
+  RecordDaemonFailure(&group.daemons[1], name, former + 100);
+  EXPECT_FALSE(IsLive(group.daemons[1], name, group.now));
+}
+
 // Both sides of a partition serve, and only the majority takes all workers.
 TEST(SchedulerElectionTest, GroupThatIsCutOffSchedulesPartially) {
   ElectionGroup group(5);
