Take the workers of another scheduler as soon as it gives up

Cause: when two daemons claim within a round trip, each takes some workers before the weaker claim yields. Change: the election tells when the last other scheduler has ended its claim or is no longer heard; the full scheduler then takes the lost workers at once. It no longer does so while the other one still schedules, and a daemon that yields tells the others at once. The new election test fails without the field.

--- a/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
+++ b/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
@@ -72,12 +72,17 @@
   TimePoint no_claim_before;
   SchedulerRole role = SchedulerRole::kFollower;
   std::string leader;  // VM; empty if none is known.
+  // Other live daemons that claimed to schedule at the last turn.
+  std::set<std::string> rivals;
 };
 
 // What changed in a turn of the election.
 struct ElectionChange {
   bool role_changed = false;
   bool leader_changed = false;
+  // Another scheduler gave its claim up or is no longer heard, and none is
+  // left: the workers that it took are free to be taken.
+  bool last_rival_ended = false;
 };
 
 // Sets the list of the store; daemons that it does not name and that were not
--- a/packages/coordination/src/scheduler_election.cc
+++ b/packages/coordination/src/scheduler_election.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <optional>
 #include <tuple>
+#include <utility>
 
 namespace sequoiapath {
 namespace internal {
@@ -196,6 +197,17 @@
   }
 }
 
+std::set<std::string> FindRivals(const SchedulerElection& election,
+                                 TimePoint now) {
+  std::set<std::string> rivals;
+  for (const auto& [vm, peer] : election.peers) {
+    if (peer.report.claim != 0 && IsReachablePeer(election, peer, now)) {
+      rivals.insert(vm);
+    }
+  }
+  return rivals;
+}
+
 // Returns the member that a worker belongs to, by rendezvous hashing.
 std::string HomeOf(const SchedulerElection& election, const std::string& worker,
                    const std::string& data_centre, TimePoint now) {
@@ -285,6 +297,9 @@
   ElectionChange change;
   change.role_changed = election->role != old_role;
   change.leader_changed = election->leader != old_leader;
+  std::set<std::string> rivals = internal::FindRivals(*election, now);
+  change.last_rival_ended = !election->rivals.empty() && rivals.empty();
+  election->rivals = std::move(rivals);
   return change;
 }
 
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -378,8 +378,8 @@
   return "unknown";
 }
 
-// Follows daemons that came or went.
-void UpdateLiveness(EntryDaemonState* daemon) {
+// Follows daemons that came or went. Returns whether any came.
+bool UpdateLiveness(EntryDaemonState* daemon) {
   const TimePoint now = daemon->loop->Now();
   bool returned = false;
   for (auto& [vm, link] : daemon->links) {
@@ -394,10 +394,7 @@
       daemon->service->CancelJobsOf(Origin(vm, link.incarnation));
     }
   }
-  if (returned) {
-    daemon->service->RetryForeignWorkers(FenceAboveAll(&daemon->election),
-                                         Duration::zero());
-  }
+  return returned;
 }
 
 void LogLeader(const EntryDaemonState& daemon, const std::string& former) {
@@ -418,18 +415,32 @@
     SendHeartbeats(daemon);
   } else if (!schedules && scheduled) {
     daemon->service->End();
+    // The other scheduler takes the workers as soon as it knows.
+    SendHeartbeats(daemon);
   } else if (schedules) {
     UpdateExtent(daemon);
   }
 }
 
+// Takes the workers that another scheduler had taken, once it no longer
+// schedules. While it does, both would take them from each other.
+void TakeWorkersOfFormerRivals(EntryDaemonState* daemon, bool changed) {
+  if (!changed || daemon->election.role != SchedulerRole::kFull ||
+      !daemon->election.rivals.empty()) {
+    return;
+  }
+  daemon->service->RetryForeignWorkers(FenceAboveAll(&daemon->election),
+                                       Duration::zero());
+}
+
 void RunElectionNow(EntryDaemonState* daemon) {
   UpdateOwnReport(daemon);
-  UpdateLiveness(daemon);
+  const bool returned = UpdateLiveness(daemon);
   const std::string former = daemon->election.leader;
   const ElectionChange change =
       RunElection(&daemon->election, daemon->loop->Now(), WallClock());
   FollowRole(daemon, daemon->election.self.claim != 0);
+  TakeWorkersOfFormerRivals(daemon, returned || change.last_rival_ended);
   if (!change.leader_changed && !change.role_changed) return;
   ++daemon->counts.leader_changes;
   LogLeader(*daemon, former);
--- a/tests/correctness/scheduler_election_test.cc
+++ b/tests/correctness/scheduler_election_test.cc
@@ -213,6 +213,24 @@
   EXPECT_FALSE(IsLive(group.daemons[0], ElectionGroup::Name(1), group.now));
 }
 
+// Two daemons that claim at the same time both take workers. The one that stays
+// must learn when the other has given up, or it leaves workers unused.
+TEST(SchedulerElectionTest, TellsWhenTheLastOtherSchedulerHasEnded) {
+  ElectionGroup group(3);
+  group.Run(seconds(4));
+  SchedulerElection& scheduler = group.daemons[0];
+  ASSERT_NE(scheduler.self.claim, 0U);
+  DaemonReport rival = group.daemons[1].self;
+  rival.claim = scheduler.self.claim - 1;
+  RecordReport(&scheduler, rival, group.now);
+  EXPECT_FALSE(RunElection(&scheduler, group.now, kWallClock).last_rival_ended);
+  EXPECT_NE(scheduler.self.claim, 0U);
+  rival.claim = 0;
+  RecordReport(&scheduler, rival, group.now);
+  EXPECT_TRUE(RunElection(&scheduler, group.now, kWallClock).last_rival_ended);
+  EXPECT_FALSE(RunElection(&scheduler, group.now, kWallClock).last_rival_ended);
+}
+
 TEST(SchedulerElectionTest, PlannedStopHandsOverWithinOneExchange) {
   ElectionGroup group(4);
   group.Run(seconds(4));
