Let a partial scheduler wait before it takes all workers

Cause: when a partition heals, the scheduler of the smaller side hears a majority some milliseconds before it hears the other scheduler. Change: a partial scheduler becomes full only after 0.6 s of majority; within that time every live daemon has been heard.

--- a/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
+++ b/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -45,6 +46,10 @@
   // A daemon takes over from a scheduler that is less than half as strong when
   // it has run for this long.
   Duration replace_weaker = std::chrono::seconds(3);
+  // A partial scheduler that has the majority again waits so long before it
+  // takes all workers, so that it first hears of a scheduler in that majority.
+  // Live daemons are heard within `silence`.
+  Duration promotion = std::chrono::milliseconds(600);
   // After a step down a daemon does not claim for this long.
   Duration step_down_pause = std::chrono::milliseconds(400);
 };
@@ -70,6 +75,8 @@
   TimePoint started;
   bool listing_known = false;
   TimePoint no_claim_before;
+  // When this daemon's group became a majority; nothing while it is none.
+  std::optional<TimePoint> majority_since;
   SchedulerRole role = SchedulerRole::kFollower;
   std::string leader;  // VM; empty if none is known.
   // Other live daemons that claimed to schedule at the last turn.
--- a/packages/coordination/src/scheduler_election.cc
+++ b/packages/coordination/src/scheduler_election.cc
@@ -160,9 +160,21 @@
   election->leader = vm;
 }
 
+void UpdateMajority(SchedulerElection* election, TimePoint now) {
+  if (!HasMajority(*election, now)) {
+    election->majority_since.reset();
+  } else if (!election->majority_since) {
+    election->majority_since = now;
+  }
+}
+
 // A scheduler keeps its claim but adapts its extent to its group.
 void AdaptExtent(SchedulerElection* election, TimePoint now) {
-  election->self.partial = !HasMajority(*election, now);
+  const bool may_be_full =
+      election->majority_since &&
+      (!election->self.partial ||
+       now - *election->majority_since >= election->times.promotion);
+  election->self.partial = !may_be_full;
   election->role =
       election->self.partial ? SchedulerRole::kPartial : SchedulerRole::kFull;
   election->leader = election->self.vm;
@@ -293,6 +305,7 @@
   const SchedulerRole old_role = election->role;
   const std::string old_leader = election->leader;
   internal::ForgetOldPeers(election, now);
+  internal::UpdateMajority(election, now);
   internal::DecideRole(election, now, wall_clock);
   ElectionChange change;
   change.role_changed = election->role != old_role;
--- a/tests/correctness/scheduler_election_test.cc
+++ b/tests/correctness/scheduler_election_test.cc
@@ -191,6 +191,44 @@
   EXPECT_EQ(group.daemons[0].leader, ElectionGroup::Name(2));
 }
 
+// When a partition heals, the daemon that was cut off may hear a majority
+// before it hears the scheduler. It must not take all workers in between.
+TEST(SchedulerElectionTest, HealedGroupLeavesTheSchedulerOfTheMajority) {
+  ElectionGroup group(5);
+  group.Run(seconds(4));
+  const auto cut = [](std::size_t a, std::size_t b) {
+    return (a < 3) == (b < 3);
+  };
+  group.Run(seconds(2), cut);
+  ASSERT_EQ(group.daemons[0].role, SchedulerRole::kFull);
+  ASSERT_EQ(group.daemons[3].role, SchedulerRole::kPartial);
+  const FencingToken claim = group.daemons[0].self.claim;
+  const auto heals = [](std::size_t a, std::size_t b) {
+    return (a != 0 && b != 0) || (a < 3 && b < 3);
+  };
+  group.Run(milliseconds(200), heals);
+  EXPECT_EQ(group.daemons[3].role, SchedulerRole::kPartial);
+  group.Run(milliseconds(200));
+  EXPECT_EQ(group.daemons[0].self.claim, claim);
+  EXPECT_EQ(group.Schedulers(), 1);
+}
+
+// A group that became the majority without a scheduler in it takes all workers.
+TEST(SchedulerElectionTest, PartialSchedulerIsPromotedOnceItHasTheMajority) {
+  ElectionGroup group(5);
+  group.Run(seconds(4));
+  for (const int i : {2, 3, 4}) group.up[i] = false;
+  group.Run(seconds(2));
+  ASSERT_EQ(group.daemons[0].role, SchedulerRole::kPartial);
+  group.up[2] = true;
+  group.daemons[2].started = group.now;
+  group.daemons[2].self.settled = false;
+  group.Run(milliseconds(500));
+  EXPECT_EQ(group.daemons[0].role, SchedulerRole::kPartial);
+  group.Run(milliseconds(300));
+  EXPECT_EQ(group.daemons[0].role, SchedulerRole::kFull);
+}
+
 // A rolling restart must not cost the majority.
 TEST(SchedulerElectionTest, StoppingDaemonsDoNotCountAsMembers) {
   ElectionGroup group(6);
