Keep workers where they are while a partition heals

Change: home workers of a daemon count only when it has been heard for 0.6 s, and a worker that is lost within 1 s of the other scheduler's end is taken back at once. Both tests fail without the change.

--- a/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
+++ b/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
@@ -47,8 +47,9 @@
   // it has run for this long.
   Duration replace_weaker = std::chrono::seconds(3);
   // A partial scheduler that has the majority again waits so long before it
-  // takes all workers, so that it first hears of a scheduler in that majority.
-  // Live daemons are heard within `silence`.
+  // takes all workers, and so does one that hears a daemon again before it
+  // takes that daemon's home workers, so that it first hears of another
+  // scheduler. Live daemons are heard within `silence`.
   Duration promotion = std::chrono::milliseconds(600);
   // After a step down a daemon does not claim for this long.
   Duration step_down_pause = std::chrono::milliseconds(400);
@@ -57,8 +58,9 @@
 struct ElectionPeer {
   DaemonReport report;
   TimePoint last_heard;
-  bool heard = false;   // Since the last failure of its connection.
-  bool listed = false;  // In the store's list.
+  TimePoint live_since;  // Heard without a gap since then.
+  bool heard = false;    // Since the last failure of its connection.
+  bool listed = false;   // In the store's list.
 };
 
 enum class SchedulerRole {
@@ -128,8 +130,9 @@
 // Gives up the claim of this daemon, for example before a planned stop.
 void StepDown(SchedulerElection* election, TimePoint now);
 
-// Says whether the worker's home daemon is in this daemon's live group. The
-// home is chosen among all members, those of the worker's data centre first.
+// Says whether the worker's home daemon is in this daemon's live group, and has
+// been for a while. The home is chosen among all members, those of the worker's
+// data centre first.
 bool IsHomeWorker(const SchedulerElection& election, const std::string& worker,
                   const std::string& data_centre, TimePoint now);
 
--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -45,6 +45,9 @@
   // When a worker that another scheduler took is tried again.
   Duration foreign_retry_full = std::chrono::seconds(8);
   Duration foreign_retry_partial = std::chrono::milliseconds(200);
+  // Orders that another scheduler sent before it gave up arrive within this
+  // time. A worker that is lost to them is taken back at once.
+  Duration late_rival_orders = std::chrono::seconds(1);
   // A worker is still used for so long after its entry was removed; entries
   // that lapsed while the store was away come back within two seconds.
   Duration unlisted_grace = std::chrono::milliseconds(2500);
@@ -155,6 +158,7 @@
   };
   std::unordered_map<std::string, RememberedAnswer> answers;
   std::set<std::string> home_workers;  // Of a partial scheduler.
+  TimePoint take_back_until;  // Workers that were lost to another scheduler.
   TimePoint next_cleanup;
   TimePoint next_expiry;
   std::uint64_t next_hold_id = 0;
@@ -175,7 +179,8 @@
                std::set<std::string> home_workers);
 
 // Tries workers that another scheduler took again after `delay`, with at least
-// the given fencing token. Precondition: the token is of this daemon.
+// the given fencing token, and those that are lost within a second at once.
+// Precondition: the token is of this daemon.
 void RetryForeignWorkers(TaskScheduler* scheduler, FencingToken fence,
                          Duration delay, TimePoint now);
 
--- a/packages/coordination/src/scheduler_election.cc
+++ b/packages/coordination/src/scheduler_election.cc
@@ -263,6 +263,7 @@
                   TimePoint now) {
   if (report.vm == election->self.vm) return;
   ElectionPeer& peer = election->peers[report.vm];
+  if (!internal::IsReachablePeer(*election, peer, now)) peer.live_since = now;
   peer.report = report;
   peer.last_heard = now;
   peer.heard = true;
@@ -323,8 +324,11 @@
 
 bool IsHomeWorker(const SchedulerElection& election, const std::string& worker,
                   const std::string& data_centre, TimePoint now) {
-  return IsLive(election, internal::HomeOf(election, worker, data_centre, now),
-                now);
+  const std::string home = internal::HomeOf(election, worker, data_centre, now);
+  if (home == election.self.vm) return true;
+  const ElectionPeer& peer = election.peers.at(home);
+  return internal::IsLivePeer(election, peer, now) &&
+         now - peer.live_since >= election.times.promotion;
 }
 
 FencingToken MakeFence(std::chrono::milliseconds wall_clock,
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -260,7 +260,7 @@
   // ahead of this one.
   worker->fence = RaiseFence(worker->fence, worker->fence_step);
   worker->fence_step = std::min(worker->fence_step * 2, kLongestFenceStep);
-  if (first_try) {
+  if (first_try || now < scheduler->take_back_until) {
     worker->next_hold = now;
   } else {
     worker->next_hold =
@@ -706,6 +706,7 @@
 
 void RetryForeignWorkers(TaskScheduler* scheduler, FencingToken fence,
                          Duration delay, TimePoint now) {
+  scheduler->take_back_until = now + delay + scheduler->times.late_rival_orders;
   for (auto& [id, worker] : scheduler->workers) {
     if (worker.claim != ClaimState::kForeign) continue;
     worker.fence = std::max(worker.fence, fence);
--- a/tests/correctness/scheduler_election_test.cc
+++ b/tests/correctness/scheduler_election_test.cc
@@ -213,6 +213,32 @@
   EXPECT_EQ(group.Schedulers(), 1);
 }
 
+// While a partition heals, a partial scheduler must not take the home workers
+// of each daemon that it hears again: another scheduler still uses them.
+TEST(SchedulerElectionTest, HealingGroupDoesNotTakeMoreWorkers) {
+  ElectionGroup group(5);
+  group.Run(seconds(4));
+  group.Run(seconds(2),
+            [](std::size_t a, std::size_t b) { return (a < 3) == (b < 3); });
+  const auto homes = [&group] {
+    int count = 0;
+    for (int w = 0; w < 100; ++w) {
+      if (IsHomeWorker(group.daemons[3], fmt::format("w{}", w), "heredia",
+                       group.now)) {
+        ++count;
+      }
+    }
+    return count;
+  };
+  ASSERT_EQ(homes(), 0);
+  group.Run(milliseconds(300),
+            [](std::size_t a, std::size_t b) { return a != 0 && b != 0; });
+  EXPECT_EQ(homes(), 0);
+  group.Run(milliseconds(600),
+            [](std::size_t a, std::size_t b) { return a != 0 && b != 0; });
+  EXPECT_GT(homes(), 0);
+}
+
 // A group that became the majority without a scheduler in it takes all workers.
 TEST(SchedulerElectionTest, PartialSchedulerIsPromotedOnceItHasTheMajority) {
   ElectionGroup group(5);
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -345,6 +345,17 @@
 }
 
 // After a common loss of power the clocks may be behind the last token.
+// Another scheduler's last orders may arrive after it has given up. The workers
+// that they take must not stay unused.
+TEST(TaskSchedulerTest, WorkerLostToAFormerSchedulerIsTakenBackAtOnce) {
+  SchedulerHarness harness(1);
+  RetryForeignWorkers(&harness.scheduler, kClaim + 1, milliseconds(0),
+                      harness.now);
+  harness.workers["w0"].fence = kClaim + 50;
+  harness.Run(milliseconds(400));
+  EXPECT_EQ(harness.scheduler.workers.at("w0").claim, ClaimState::kClaimed);
+}
+
 TEST(TaskSchedulerTest, FirstClaimRisesAboveAnOldToken) {
   SchedulerHarness harness(1);
   harness.scheduler = {};
