Let a scheduler's pass not look at every worker

Change: a pass looks at the workers that had an event, the others every 10 ms; candidates with room are collected once for a pass, their health is asked for only when it decides, and placing ends when the largest room is too small.

--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -159,8 +159,15 @@
   std::unordered_map<std::string, RememberedAnswer> answers;
   std::set<std::string> home_workers;  // Of a partial scheduler.
   TimePoint take_back_until;  // Workers that were lost to another scheduler.
+  // All of `workers`, for quick passes.
+  std::vector<WorkerRuns*> worker_list;
+  // Workers with an event since the last pass. The others are looked at in
+  // sweeps only, so that a pass costs no time for each worker.
+  std::vector<WorkerRuns*> touched;
+  // No waiting task needs less.
+  std::int64_t smallest_demand = 0;
   TimePoint next_cleanup;
-  TimePoint next_expiry;
+  TimePoint next_sweep;
   std::uint64_t next_hold_id = 0;
   bool room_changed = false;
   std::vector<SchedulerAction> actions;
@@ -197,7 +204,7 @@
 void SubmitJob(TaskScheduler* scheduler, StepJob job, TimePoint now);
 
 // Ends a job early and stops its tasks. Returns false if it is unknown.
-bool CancelJob(TaskScheduler* scheduler, const std::string& job);
+bool CancelJob(TaskScheduler* scheduler, const std::string& job, TimePoint now);
 
 void RecordStartReply(TaskScheduler* scheduler, const std::string& worker,
                       const StartOrder& order, const OrderReply& reply,
@@ -210,7 +217,8 @@
                      TimePoint now);
 
 // Places waiting tasks, renews leases, and ends what is over. Call it after
-// each batch of events and every 20 ms or so.
+// each batch of events and every 20 ms or so. Workers without an event are
+// looked at every 10 ms at most.
 void RunScheduler(TaskScheduler* scheduler, TimePoint now);
 
 // Returns the actions since the last call.
--- a/packages/coordination/include/sequoiapath/coordination/worker_runs.h
+++ b/packages/coordination/include/sequoiapath/coordination/worker_runs.h
@@ -79,6 +79,7 @@
   double speed = 1;  // Estimated over actual run time, smoothed.
   TimePoint slow_until;
   TimePoint blocked_until;
+  bool touched = false;  // In the scheduler's list of workers to look at.
 };
 
 struct LeaseTimes {
--- a/packages/coordination/src/task_placement.cc
+++ b/packages/coordination/src/task_placement.cc
@@ -67,68 +67,102 @@
 }
 
 // Smaller is better: little room is left over, and the worker is fast.
-double Score(const WorkerRuns& worker, const JobStep& step,
+double Score(const PlacementCandidate& candidate, const JobStep& step,
              const ScheduledTask& task) {
-  const Resources room = FreeRoom(worker);
-  auto score = static_cast<double>(room.milli_cores - step.demand.milli_cores);
-  score -= kMilliCoresPerDoubledSpeed * std::log2(std::max(worker.speed, 0.05));
+  const WorkerRuns& worker = *candidate.worker;
+  double score = static_cast<double>(candidate.free_milli_cores -
+                                     step.demand.milli_cores) -
+                 candidate.speed_bonus;
   if (!step.preferred_rack.empty() && HasLabel(worker, step.preferred_rack)) {
     score -= kRackBonusMilliCores;
   }
-  if (task.last_worker == worker.description.id) {
+  if (!task.last_worker.empty() && task.last_worker == worker.description.id) {
     score += kRepeatPenaltyMilliCores;
   }
   return score;
 }
 
+// Says whether the worker's earlier tasks allow a new one.
+bool IsHealthy(const TaskScheduler& scheduler, PlacementCandidate* candidate,
+               TimePoint now) {
+  if (!candidate->healthy) {
+    candidate->healthy =
+        IsEligible(scheduler.health, candidate->worker->description.id,
+                   /*idempotent=*/true, now);
+  }
+  return *candidate->healthy;
+}
+
+void UpdateLargestRoom(PlacementView* view) {
+  view->largest_room = 0;
+  for (const PlacementCandidate& candidate : view->candidates) {
+    view->largest_room =
+        std::max(view->largest_room, candidate.free_milli_cores);
+  }
+}
+
 }  // namespace
 
 bool CanEverRun(const TaskScheduler& scheduler, const StepJob& job) {
   bool any_worker = false;
   std::vector<bool> possible(job.steps.size(), false);
-  for (const auto& [id, worker] : scheduler.workers) {
-    if (worker.description.service != job.service) continue;
+  std::size_t missing = job.steps.size();
+  for (const WorkerRuns* worker : scheduler.worker_list) {
+    if (worker->description.service != job.service) continue;
     any_worker = true;
     for (std::size_t s = 0; s < job.steps.size(); ++s) {
       const JobStep& step = job.steps[s];
-      if (IsAllowed(worker, job, step) &&
-          Fits(step.demand, worker.description.capacity)) {
-        possible[s] = true;
+      if (possible[s] || !IsAllowed(*worker, job, step) ||
+          !Fits(step.demand, worker->description.capacity)) {
+        continue;
       }
+      possible[s] = true;
+      --missing;
     }
+    if (missing == 0) return true;
   }
-  if (!any_worker) return true;
-  return std::all_of(possible.begin(), possible.end(),
-                     [](bool step) { return step; });
+  return !any_worker;
 }
 
-WorkerRuns* ChooseWorker(TaskScheduler* scheduler, const ScheduledJob& job,
-                         const TaskName& task, TimePoint now) {
+PlacementView FindRoom(const TaskScheduler& scheduler,
+                       std::int64_t smallest_demand, TimePoint now) {
+  PlacementView view;
+  for (WorkerRuns* worker : scheduler.worker_list) {
+    const std::int64_t room = FreeRoom(*worker).milli_cores;
+    if (room < smallest_demand || !IsUsable(scheduler, *worker, now)) continue;
+    view.candidates.push_back(
+        {worker, room,
+         kMilliCoresPerDoubledSpeed * std::log2(std::max(worker->speed, 0.05)),
+         std::nullopt});
+  }
+  UpdateLargestRoom(&view);
+  return view;
+}
+
+WorkerRuns* ChooseWorker(const TaskScheduler& scheduler, PlacementView* view,
+                         const ScheduledJob& job, const TaskName& task,
+                         TimePoint now) {
   const JobStep& step = job.job.steps[task.step];
-  WorkerRuns* best = nullptr;
+  const ScheduledTask& state = job.steps[task.step].tasks[task.index];
+  PlacementCandidate* best = nullptr;
   double best_score = std::numeric_limits<double>::max();
-  for (auto& [id, worker] : scheduler->workers) {
-    if (!HasRoom(worker, step, task) || !IsUsable(*scheduler, worker, now) ||
-        !IsAllowed(worker, job.job, step) ||
-        !IsEligible(scheduler->health, id, /*idempotent=*/true, now)) {
+  for (PlacementCandidate& candidate : view->candidates) {
+    if (candidate.free_milli_cores < step.demand.milli_cores) continue;
+    const double score = Score(candidate, step, state);
+    if (score >= best_score || !HasRoom(*candidate.worker, step, task) ||
+        !IsAllowed(*candidate.worker, job.job, step) ||
+        !IsHealthy(scheduler, &candidate, now)) {
       continue;
     }
-    const double score =
-        Score(worker, step, job.steps[task.step].tasks[task.index]);
-    if (score >= best_score) continue;
-    best = &worker;
+    best = &candidate;
     best_score = score;
   }
-  return best;
-}
-
-std::int64_t LargestRoom(const TaskScheduler& scheduler, TimePoint now) {
-  std::int64_t largest = 0;
-  for (const auto& [id, worker] : scheduler.workers) {
-    if (!IsUsable(scheduler, worker, now)) continue;
-    largest = std::max(largest, FreeRoom(worker).milli_cores);
-  }
-  return largest;
+  if (best == nullptr) return nullptr;
+  best->free_milli_cores -= step.demand.milli_cores;
+  // A new task counts against a worker that is on probation.
+  best->healthy.reset();
+  UpdateLargestRoom(view);
+  return best->worker;
 }
 
 }  // namespace internal
@@ -136,12 +170,12 @@
 std::optional<std::chrono::milliseconds> ExpectedWait(
     const TaskScheduler& scheduler, const StepJob& job, TimePoint now) {
   double cores = 0;
-  for (const auto& [id, worker] : scheduler.workers) {
-    if (worker.description.service != job.service ||
-        !internal::IsUsable(scheduler, worker, now)) {
+  for (const WorkerRuns* worker : scheduler.worker_list) {
+    if (worker->description.service != job.service ||
+        !internal::IsUsable(scheduler, *worker, now)) {
       continue;
     }
-    cores += static_cast<double>(worker.description.capacity.milli_cores);
+    cores += static_cast<double>(worker->description.capacity.milli_cores);
   }
   if (cores <= 0) return std::nullopt;
   double ahead = 0;
--- a/packages/coordination/src/task_placement.h
+++ b/packages/coordination/src/task_placement.h
@@ -5,6 +5,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
+#include <vector>
 
 #include "sequoiapath/coordination/task_scheduler.h"
 
@@ -17,13 +19,31 @@
 // idle. True while no worker of the service is known.
 bool CanEverRun(const TaskScheduler& scheduler, const StepJob& job);
 
-// Returns the worker that the task should start on now, or null if none has
-// room.
-WorkerRuns* ChooseWorker(TaskScheduler* scheduler, const ScheduledJob& job,
-                         const TaskName& task, TimePoint now);
+// A worker that has room.
+struct PlacementCandidate {
+  WorkerRuns* worker = nullptr;
+  std::int64_t free_milli_cores = 0;
+  // Room that the worker's speed is worth.
+  double speed_bonus = 0;
+  std::optional<bool> healthy;  // Nothing until it is asked for.
+};
+
+// The workers that tasks may be placed on during one pass.
+struct PlacementView {
+  std::vector<PlacementCandidate> candidates;
+  std::int64_t largest_room = 0;  // In milli-cores.
+};
+
+// Returns the workers that may be used and have at least `smallest_demand`
+// milli-cores left.
+PlacementView FindRoom(const TaskScheduler& scheduler,
+                       std::int64_t smallest_demand, TimePoint now);
 
-// Returns the largest number of free milli-cores on a worker that may be used.
-std::int64_t LargestRoom(const TaskScheduler& scheduler, TimePoint now);
+// Returns the worker that the task should start on now, or null if none has
+// room. Its room in the view shrinks by the task's demand.
+WorkerRuns* ChooseWorker(const TaskScheduler& scheduler, PlacementView* view,
+                         const ScheduledJob& job, const TaskName& task,
+                         TimePoint now);
 
 }  // namespace sequoiapath::internal
 
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -17,7 +17,7 @@
 
 // Runs of a job at another scheduler are numbered from the next multiple.
 constexpr std::uint32_t kRunsPerGeneration = 1000;
-constexpr Duration kExpiryInterval = milliseconds(10);
+constexpr Duration kSweepInterval = milliseconds(10);
 constexpr Duration kListCheckInterval = milliseconds(20);
 constexpr Duration kCleanupInterval = milliseconds(100);
 constexpr milliseconds kLongestFenceStep{3'600'000};
@@ -55,10 +55,36 @@
       [](const ScheduledStep& step) { return step.waiting > 0; });
 }
 
+std::int64_t SmallestDemand(const StepJob& job) {
+  std::int64_t smallest = std::numeric_limits<std::int64_t>::max();
+  for (const JobStep& step : job.steps) {
+    smallest = std::min(smallest, step.demand.milli_cores);
+  }
+  return smallest;
+}
+
+// Has the worker looked at in the next pass.
+void Touch(TaskScheduler* scheduler, WorkerRuns* worker) {
+  if (std::exchange(worker->touched, true)) return;
+  scheduler->touched.push_back(worker);
+}
+
+void ListWorkers(TaskScheduler* scheduler) {
+  scheduler->worker_list.clear();
+  scheduler->touched.clear();
+  for (auto& [id, worker] : scheduler->workers) {
+    worker.touched = false;
+    scheduler->worker_list.push_back(&worker);
+  }
+  scheduler->next_sweep = {};
+}
+
 // Keeps the queue in step with the job's waiting tasks.
 void UpdateQueue(TaskScheduler* scheduler, ScheduledJob* job) {
   if (HasWaitingTask(*job)) {
     scheduler->queue[job->key] = job;
+    scheduler->smallest_demand =
+        std::min(scheduler->smallest_demand, SmallestDemand(job->job));
   } else {
     scheduler->queue.erase(job->key);
   }
@@ -74,7 +100,9 @@
       const auto worker = scheduler->workers.find(task.worker);
       if (worker == scheduler->workers.end()) continue;
       const auto run = worker->second.runs.find(TaskName{job.job.id, s, i});
-      if (run != worker->second.runs.end()) run->second.stop_wanted = true;
+      if (run == worker->second.runs.end()) continue;
+      run->second.stop_wanted = true;
+      Touch(scheduler, &worker->second);
     }
   }
 }
@@ -200,6 +228,7 @@
   if (task == nullptr) return;
   if (task->state != TaskState::kWaiting) {
     run->stop_wanted = true;
+    Touch(scheduler, worker);
     return;
   }
   AdoptRun(worker, name, job->job.steps[name.step]);
@@ -218,13 +247,23 @@
   }
 }
 
+// Says whether tasks of the job may be on workers although it is only now
+// submitted: it had another scheduler, or it was ended here a moment ago.
+bool MayHaveRuns(const TaskScheduler& scheduler, const StepJob& job) {
+  if (job.generation > 0 || scheduler.answers.contains(job.id)) return true;
+  return std::any_of(
+      scheduler.worker_list.begin(), scheduler.worker_list.end(),
+      [](const WorkerRuns* worker) { return worker->orphans > 0; });
+}
+
 // Gives a job all runs of its tasks that are on workers.
 void AdoptRunsOf(TaskScheduler* scheduler, ScheduledJob* job) {
+  if (!MayHaveRuns(*scheduler, job->job)) return;
   const TaskName first{job->job.id, 0, 0};
-  for (auto& [id, worker] : scheduler->workers) {
-    for (auto run = worker.runs.lower_bound(first);
-         run != worker.runs.end() && run->first.job == job->job.id; ++run) {
-      AdoptTaskRun(scheduler, &worker, job, run->first, &run->second);
+  for (WorkerRuns* worker : scheduler->worker_list) {
+    for (auto run = worker->runs.lower_bound(first);
+         run != worker->runs.end() && run->first.job == job->job.id; ++run) {
+      AdoptTaskRun(scheduler, worker, job, run->first, &run->second);
     }
   }
 }
@@ -377,14 +416,16 @@
 }
 
 void ForgetGoneWorkers(TaskScheduler* scheduler, TimePoint now) {
-  std::erase_if(scheduler->workers, [&](const auto& entry) {
-    const WorkerRuns& worker = entry.second;
-    const bool gone =
-        !worker.listed && worker.runs.empty() && !worker.hold_in_flight &&
-        now - worker.unlisted_at > scheduler->times.unlisted_grace;
-    if (gone) ForgetWorker(&scheduler->health, entry.first);
-    return gone;
-  });
+  const std::size_t erased =
+      std::erase_if(scheduler->workers, [&](const auto& entry) {
+        const WorkerRuns& worker = entry.second;
+        const bool gone =
+            !worker.listed && worker.runs.empty() && !worker.hold_in_flight &&
+            now - worker.unlisted_at > scheduler->times.unlisted_grace;
+        if (gone) ForgetWorker(&scheduler->health, entry.first);
+        return gone;
+      });
+  if (erased > 0) ListWorkers(scheduler);
 }
 
 void ForgetOldAnswers(TaskScheduler* scheduler, TimePoint now) {
@@ -481,13 +522,13 @@
 }
 
 // Places the waiting tasks of a step that is ready, as far as there is room.
-void PlaceStep(TaskScheduler* scheduler, ScheduledJob* job,
+void PlaceStep(TaskScheduler* scheduler, PlacementView* view, ScheduledJob* job,
                std::uint32_t step_index, TimePoint now) {
   ScheduledStep& step = job->steps[step_index];
   for (std::uint32_t i = 0; i < step.tasks.size() && step.waiting > 0; ++i) {
     if (step.tasks[i].state != TaskState::kWaiting) continue;
     const TaskName name{job->job.id, step_index, i};
-    WorkerRuns* worker = ChooseWorker(scheduler, *job, name, now);
+    WorkerRuns* worker = ChooseWorker(*scheduler, view, *job, name, now);
     if (worker == nullptr) return;
     StartTask(scheduler, job, name, worker, now);
   }
@@ -526,13 +567,13 @@
       [&](const auto& entry) { return ShowsRunsOf(entry.second, job); });
 }
 
-// Places what fits of a job. `room` is the largest room on a worker.
-void PlaceJob(TaskScheduler* scheduler, ScheduledJob* job, std::int64_t room,
+// Places what fits of a job.
+void PlaceJob(TaskScheduler* scheduler, PlacementView* view, ScheduledJob* job,
               TimePoint now) {
   for (std::uint32_t s = 0; s < job->steps.size(); ++s) {
     if (job->steps[s].waiting == 0 || !IsReady(*job, s)) continue;
-    if (job->job.steps[s].demand.milli_cores > room) continue;
-    PlaceStep(scheduler, job, s, now);
+    if (job->job.steps[s].demand.milli_cores > view->largest_room) continue;
+    PlaceStep(scheduler, view, job, s, now);
   }
 }
 
@@ -549,16 +590,42 @@
 }
 
 void PlaceTasks(TaskScheduler* scheduler, TimePoint now) {
-  std::int64_t room = LargestRoom(*scheduler, now);
+  if (scheduler->queue.empty()) return;
+  PlacementView view = FindRoom(*scheduler, scheduler->smallest_demand, now);
   // Placing changes the queue.
   std::vector<ScheduledJob*> jobs;
-  jobs.reserve(scheduler->queue.size());
-  for (const auto& [key, job] : scheduler->queue) jobs.push_back(job);
+  if (!view.candidates.empty()) {
+    jobs.reserve(scheduler->queue.size());
+    for (const auto& [key, job] : scheduler->queue) jobs.push_back(job);
+  }
   for (ScheduledJob* job : jobs) {
+    if (view.largest_room < scheduler->smallest_demand) return;
     if (!MayStartTasks(*scheduler, job, now)) continue;
-    const std::uint64_t starts = scheduler->counts.starts;
-    PlaceJob(scheduler, job, room, now);
-    if (scheduler->counts.starts != starts) room = LargestRoom(*scheduler, now);
+    PlaceJob(scheduler, &view, job, now);
+  }
+}
+
+// Looks at every worker and ends jobs whose callers no longer wait.
+void Sweep(TaskScheduler* scheduler, TimePoint now) {
+  ExpireJobs(scheduler, now);
+  for (WorkerRuns* worker : scheduler->worker_list) {
+    RunWorker(scheduler, worker, now);
+  }
+  scheduler->smallest_demand = std::numeric_limits<std::int64_t>::max();
+  for (const auto& [key, job] : scheduler->queue) {
+    scheduler->smallest_demand =
+        std::min(scheduler->smallest_demand, SmallestDemand(job->job));
+  }
+}
+
+// Looks at the workers that had an event.
+void RunTouchedWorkers(TaskScheduler* scheduler, TimePoint now) {
+  // A job that fails stops its runs on further workers.
+  while (!scheduler->touched.empty()) {
+    for (WorkerRuns* worker : std::exchange(scheduler->touched, {})) {
+      worker->touched = false;
+      RunWorker(scheduler, worker, now);
+    }
   }
 }
 
@@ -666,6 +733,7 @@
 void BeginScheduling(TaskScheduler* scheduler, FencingToken claim,
                      TimePoint now) {
   scheduler->claim = claim;
+  scheduler->next_sweep = {};
   for (auto& [id, worker] : scheduler->workers) {
     const WorkerDescription description = worker.description;
     const bool listed = worker.listed;
@@ -675,6 +743,7 @@
     worker.unlisted_at = now;
     worker.fence = claim;
   }
+  internal::ListWorkers(scheduler);
 }
 
 void EndScheduling(TaskScheduler* scheduler) {
@@ -702,6 +771,7 @@
   scheduler->partial = partial;
   scheduler->home_workers = std::move(home_workers);
   scheduler->room_changed = true;
+  scheduler->next_sweep = {};
 }
 
 void RetryForeignWorkers(TaskScheduler* scheduler, FencingToken fence,
@@ -713,6 +783,7 @@
     worker.claimed_before = false;
     worker.next_hold = now + delay;
   }
+  scheduler->next_sweep = {};
 }
 
 void UpdateWorker(TaskScheduler* scheduler, const WorkerDescription& worker,
@@ -722,6 +793,7 @@
   WorkerRuns& runs = found->second;
   const bool moved = !added && runs.description.address != worker.address;
   if (moved) internal::DropReplacedWorker(scheduler, &runs, now);
+  if (added) internal::ListWorkers(scheduler);
   if (added || moved) {
     runs.fence = scheduler->claim;
     runs.replaced = false;
@@ -733,6 +805,7 @@
   }
   runs.description = worker;
   runs.listed = true;
+  internal::Touch(scheduler, &runs);
   scheduler->room_changed = true;
 }
 
@@ -769,15 +842,14 @@
   internal::AdoptKnownTasks(scheduler, id, now);
 }
 
-bool CancelJob(TaskScheduler* scheduler, const std::string& job) {
+bool CancelJob(TaskScheduler* scheduler, const std::string& job,
+               TimePoint now) {
   ScheduledJob* found = internal::FindJob(scheduler, job);
   if (found == nullptr) return false;
-  internal::StopRunsOf(scheduler, *found);
-  scheduler->queue.erase(found->key);
-  scheduler->actions.push_back(AnswerJob{
-      job,
-      {StepJobOutcome::kCancelled, "cancelled", internal::milliseconds(0)}});
-  scheduler->jobs.erase(job);
+  internal::FinishJob(
+      scheduler, found,
+      {StepJobOutcome::kCancelled, "cancelled", internal::milliseconds(0)},
+      now);
   return true;
 }
 
@@ -788,6 +860,7 @@
   if (found == scheduler->workers.end()) return;
   WorkerRun* run = internal::FindRun(&found->second, order.task, order.run);
   if (run == nullptr) return;
+  internal::Touch(scheduler, &found->second);
   if (std::holds_alternative<OrderAccepted>(reply)) {
     run->state = RunState::kRunning;
     run->confirmed_at = now;
@@ -807,6 +880,7 @@
   if (found == scheduler->workers.end()) return;
   WorkerRun* run = internal::FindRun(&found->second, order.task, order.run);
   if (run == nullptr) return;
+  internal::Touch(scheduler, &found->second);
   run->stop_in_flight = false;
   if (std::holds_alternative<OrderAccepted>(reply)) {
     run->stopped_at = now;
@@ -826,6 +900,7 @@
   WorkerRuns* runs = &found->second;
   if (order.id != runs->hold_id) return;
   runs->hold_in_flight = false;
+  internal::Touch(scheduler, runs);
   // A start may have shown meanwhile that another scheduler took the worker.
   if (order.fence != runs->fence) return;
   if (const auto* report = std::get_if<WorkerReport>(&reply)) {
@@ -845,13 +920,11 @@
 
 void RunScheduler(TaskScheduler* scheduler, TimePoint now) {
   if (scheduler->claim == 0) return;
-  if (now >= scheduler->next_expiry) {
-    scheduler->next_expiry = now + internal::kExpiryInterval;
-    internal::ExpireJobs(scheduler, now);
-  }
-  for (auto& [id, worker] : scheduler->workers) {
-    internal::RunWorker(scheduler, &worker, now);
+  if (now >= scheduler->next_sweep) {
+    scheduler->next_sweep = now + internal::kSweepInterval;
+    internal::Sweep(scheduler, now);
   }
+  internal::RunTouchedWorkers(scheduler, now);
   if (now >= scheduler->next_cleanup) {
     scheduler->next_cleanup = now + internal::kCleanupInterval;
     internal::ForgetGoneWorkers(scheduler, now);
--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -211,7 +211,8 @@
 }
 
 bool SchedulerService::Cancel(const std::string& job) {
-  const bool known = CancelJob(&this->state->scheduler, job);
+  const bool known =
+      CancelJob(&this->state->scheduler, job, this->state->loop->Now());
   internal::CarryOutActions(this->state.get());
   internal::ScheduleRun(this->state.get());
   return known;
@@ -227,7 +228,7 @@
       {{"vm", origin}, {"jobs", jobs.size()}});
   for (const std::string& job : jobs) {
     this->state->waiters.erase(job);
-    CancelJob(&this->state->scheduler, job);
+    CancelJob(&this->state->scheduler, job, this->state->loop->Now());
   }
   internal::CarryOutActions(this->state.get());
   internal::ScheduleRun(this->state.get());
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -390,8 +390,8 @@
   SchedulerHarness harness(2);
   harness.run_time = milliseconds(5000);
   harness.Submit(Job("j1", 2));
-  EXPECT_TRUE(CancelJob(&harness.scheduler, "j1"));
-  EXPECT_FALSE(CancelJob(&harness.scheduler, "j1"));
+  EXPECT_TRUE(CancelJob(&harness.scheduler, "j1", harness.now));
+  EXPECT_FALSE(CancelJob(&harness.scheduler, "j1", harness.now));
   harness.Run(milliseconds(50));
   EXPECT_EQ(harness.RunningOf("j1"), 0U);
 }
--- a/tests/fuzz/task_scheduler_test.cc
+++ b/tests/fuzz/task_scheduler_test.cc
@@ -407,7 +407,7 @@
       SimulatedJob* job = &this->jobs.at(id);
       if (job->answered || job->scheduler != this->current) continue;
       job->scheduler = -1;
-      CancelJob(&this->schedulers[this->current], id);
+      CancelJob(&this->schedulers[this->current], id, this->now);
       this->After(this->Between(0, 100),
                   [this, id] { this->Resubmit(&this->jobs.at(id)); });
     }
@@ -419,7 +419,7 @@
                 [this, former, ids] {
                   if (this->partitioned != former) return;
                   for (const std::string& id : ids) {
-                    CancelJob(&this->schedulers[former], id);
+                    CancelJob(&this->schedulers[former], id, this->now);
                   }
                   this->Pump(former);
                 });
