Keep late orders and raised tokens from running a task twice

Change: runs that were confirmed end only with a list that does not show them; the token on a worker rises when it restarts; the first raise waits 0.7 s, above the 0.6 s within which lost daemons are noticed.

--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -44,7 +44,10 @@
   Duration unknown_runs = std::chrono::milliseconds(1800);
   // When a worker that another scheduler took is tried again.
   Duration foreign_retry_full = std::chrono::seconds(8);
-  Duration foreign_retry_partial = std::chrono::milliseconds(200);
+  // A partial scheduler's and every scheduler's first try waits until it has
+  // surely noticed which daemons are out of its reach, 0.6 s, and has stopped
+  // their jobs. The other scheduler may run the same tasks.
+  Duration foreign_retry_partial = std::chrono::milliseconds(700);
   // Orders that another scheduler sent before it gave up arrive within this
   // time. A worker that is lost to them is taken back at once.
   Duration late_rival_orders = std::chrono::seconds(1);
--- a/packages/coordination/include/sequoiapath/coordination/worker_runs.h
+++ b/packages/coordination/include/sequoiapath/coordination/worker_runs.h
@@ -50,7 +50,8 @@
 struct WorkerRuns {
   WorkerDescription description;
   ClaimState claim = ClaimState::kUnclaimed;
-  bool claimed_before = false;  // With this scheduler's claim.
+  bool claimed_before = false;   // With this scheduler's claim.
+  bool rejected_before = false;  // The same.
   FencingToken fence = 0;
   std::chrono::milliseconds fence_step{1000};
   bool listed = true;
@@ -141,9 +142,11 @@
 // Ends all runs if their leases have surely lapsed.
 std::vector<RunEnded> EndLapsedRuns(WorkerRuns* worker, TimePoint now);
 
-// Ends all runs, because the worker's process is gone. Runs whose start order
-// may still arrive at its successor are kept and are to be stopped there.
-std::vector<RunEnded> EndRunsOfFormerProcess(WorkerRuns* worker);
+// Forgets what was learnt of the worker's former process. Runs that it
+// confirmed end with the next list that does not show them; the new process may
+// have confirmed some. Runs whose start order may still arrive are to be
+// stopped.
+void DisownFormerProcess(WorkerRuns* worker);
 
 }  // namespace sequoiapath
 
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -287,7 +287,6 @@
 // Records that another scheduler has taken the worker.
 void LoseWorker(TaskScheduler* scheduler, WorkerRuns* worker, TimePoint now) {
   const bool was_claimed = worker->claim == ClaimState::kClaimed;
-  const bool first_try = !worker->claimed_before;
   if (was_claimed) {
     Note(scheduler, "worker_lost_to_other_scheduler", worker->description.id,
          "",
@@ -295,16 +294,22 @@
   }
   worker->claim = ClaimState::kForeign;
   worker->fence = std::max(worker->fence, scheduler->claim);
-  // A first rejection means that a former token was made by a clock that is
-  // ahead of this one.
   worker->fence = RaiseFence(worker->fence, worker->fence_step);
   worker->fence_step = std::min(worker->fence_step * 2, kLongestFenceStep);
-  if (first_try || now < scheduler->take_back_until) {
+  // While the worker was never claimed, the token that was rejected may be
+  // older than one that a clock ahead of this one made; then more raises
+  // follow.
+  const bool first_rejection =
+      !worker->claimed_before && !std::exchange(worker->rejected_before, true);
+  if (now < scheduler->take_back_until) {
+    worker->next_hold = now;
+  } else if (first_rejection ||
+             (worker->claimed_before && scheduler->partial)) {
+    worker->next_hold = now + scheduler->times.foreign_retry_partial;
+  } else if (!worker->claimed_before) {
     worker->next_hold = now;
   } else {
-    worker->next_hold =
-        now + (scheduler->partial ? scheduler->times.foreign_retry_partial
-                                  : scheduler->times.foreign_retry_full);
+    worker->next_hold = now + scheduler->times.foreign_retry_full;
   }
   if (!worker->lapse_at && !worker->runs.empty()) {
     worker->lapse_at = now + scheduler->times.lease.foreign_slack;
--- a/packages/coordination/src/worker_runs.cc
+++ b/packages/coordination/src/worker_runs.cc
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+#include "sequoiapath/coordination/scheduler_election.h"
+
 namespace sequoiapath {
 namespace internal {
 namespace {
@@ -161,7 +163,7 @@
   const bool restarted = worker->started_at_ms != 0 &&
                          report.started_at_ms != 0 &&
                          worker->started_at_ms != report.started_at_ms;
-  if (restarted) ended = EndRunsOfFormerProcess(worker);
+  if (restarted) DisownFormerProcess(worker);
   if (report.started_at_ms != 0) worker->started_at_ms = report.started_at_ms;
   worker->clock = report.clock;
   worker->clock_at = now;
@@ -197,27 +199,20 @@
   return ended;
 }
 
-std::vector<RunEnded> EndRunsOfFormerProcess(WorkerRuns* worker) {
-  std::vector<RunEnded> ended;
-  std::vector<TaskName> gone;
+void DisownFormerProcess(WorkerRuns* worker) {
   for (auto& [task, run] : worker->runs) {
-    if (run.state == RunState::kRunning) {
-      gone.push_back(task);
-      continue;
-    }
+    if (run.state == RunState::kRunning) continue;
     // The new process counts its clock anew and could accept the order.
     run.state = RunState::kUnknown;
     run.lease_end = WorkerTime::max();
     run.stop_wanted = true;
   }
-  ended.reserve(gone.size());
-  for (const TaskName& task : gone) {
-    ended.push_back({task, RemoveRun(worker, task), RunEnd::kLapsed, true});
-  }
+  // Orders to the former process that arrive late are rejected from the next
+  // order on.
+  worker->fence = RaiseFence(worker->fence, std::chrono::milliseconds(1));
   worker->last_seen_end = 0;
   worker->last_lease_end = WorkerTime(0);
   worker->clock_known = false;
-  return ended;
 }
 
 }  // namespace sequoiapath
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -29,7 +29,7 @@
 constexpr Duration kHeartbeatInterval = milliseconds(200);
 constexpr milliseconds kHeartbeatTimeout{400};
 // Daemons that became unreachable together are noticed within this time.
-constexpr Duration kPartialTakeDelay = milliseconds(400);
+constexpr Duration kPartialTakeDelay = milliseconds(700);
 constexpr milliseconds kPeerConnectTimeout{300};
 // Added to a job's remaining time for the reply to travel.
 constexpr milliseconds kSubmissionSlack{300};
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -363,6 +363,9 @@
   harness.workers["w0"].fence = FencingToken{60'000} << 11;
   BeginScheduling(&harness.scheduler, kClaim, harness.now);
   harness.Run(milliseconds(200));
+  // Another scheduler may hold the worker: first, its jobs must be known.
+  EXPECT_EQ(harness.scheduler.workers.at("w0").claim, ClaimState::kForeign);
+  harness.Run(milliseconds(700));
   harness.Submit(Job("j1"));
   EXPECT_EQ(harness.RunningOf("j1"), 1U);
 }
--- a/tests/correctness/worker_runs_test.cc
+++ b/tests/correctness/worker_runs_test.cc
@@ -127,6 +127,42 @@
   EXPECT_EQ(TakeStops(&worker).size(), 1U);
 }
 
+// A restarted worker may accept a start before its first list arrives. If that
+// run were taken for lost, the task would start a second time.
+TEST(WorkerRunsTest, RunThatANewProcessAcceptedOutlivesTheRestart) {
+  WorkerRuns worker = MakeWorker();
+  WorkerRun run = MakeRun(RunState::kRunning);
+  run.confirmed_at = kStart + milliseconds(60);
+  AddRun(&worker, kTask, run);
+  WorkerReport report = Report(WorkerTime(3));
+  report.started_at_ms = 8;
+  EXPECT_TRUE(ApplyReport(&worker, report, kStart + milliseconds(50),
+                          kStart + milliseconds(61))
+                  .empty());
+  report.running.push_back({kTask, 1});
+  EXPECT_TRUE(ApplyReport(&worker, report, kStart + milliseconds(70),
+                          kStart + milliseconds(75))
+                  .empty());
+  report.running.clear();
+  EXPECT_EQ(ApplyReport(&worker, report, kStart + milliseconds(80),
+                        kStart + milliseconds(85))
+                .size(),
+            1U);
+}
+
+// An order to the former process may arrive seconds late, when its run was long
+// taken for ended; the new process would start it beyond its room.
+TEST(WorkerRunsTest, FenceRisesWhenTheWorkerRestarts) {
+  WorkerRuns worker = MakeWorker();
+  worker.fence = FencingToken{500} << 11;
+  WorkerReport report = Report(WorkerTime(3));
+  ApplyReport(&worker, report, kStart, kStart);
+  EXPECT_EQ(worker.fence, FencingToken{500} << 11);
+  report.started_at_ms = 8;
+  ApplyReport(&worker, report, kStart, kStart);
+  EXPECT_GT(worker.fence, FencingToken{500} << 11);
+}
+
 TEST(WorkerRunsTest, UnknownRunBecomesAnOrphanAndCanBeAdopted) {
   WorkerRuns worker = MakeWorker();
   WorkerReport report = Report(WorkerTime(10'100));
