Let late jobs go behind those that can still be in time

Cause: jobs were ordered by the time at which they become late, also once they were late. In a burst each job waited for others that had already missed their objective, so nearly all jobs of a priority ended late. Change: every 10 ms jobs that can no longer meet their objective move behind all that can, those with started tasks first; a job without a started task is refused as soon as it cannot end before its caller's deadline.

--- a/bench/scheduling_experiment.cc
+++ b/bench/scheduling_experiment.cc
@@ -110,7 +110,8 @@
 
 struct Experiment {
   Options options;
-  std::mt19937_64 random;
+  std::mt19937_64 random;   // Of what arrives, equal for all versions.
+  std::mt19937_64 network;  // Of the time that messages take.
   TimePoint now = kStart;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
   std::uint64_t next_event = 0;
@@ -130,7 +131,7 @@
 
 Duration Hop(Experiment* experiment) {
   return std::chrono::microseconds(
-      std::uniform_int_distribution<int>(400, 1600)(experiment->random));
+      std::uniform_int_distribution<int>(400, 1600)(experiment->network));
 }
 
 WorkerTime ClockOf(const Experiment& experiment) {
--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -8,12 +8,12 @@
 #define SEQUOIAPATH_COORDINATION_TASK_SCHEDULER_H_
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -79,8 +79,25 @@
   std::size_t unfinished = 0;
 };
 
-// Orders jobs: by priority, then by the time at which they become late.
-using QueueKey = std::tuple<int, TimePoint, std::uint64_t>;
+// A job that is surely late is worth little to its caller. It goes after all
+// jobs that can still be in time, so that a burst makes few jobs late and not
+// all.
+enum class Lateness {
+  kInTime,
+  kLateStarted,  // Some of its tasks have started.
+  kLate,
+};
+
+// Orders jobs: by lateness, by priority, then by the time at which they become
+// late, or at which a late one expires.
+struct QueueKey {
+  Lateness lateness = Lateness::kInTime;
+  int priority = 0;
+  TimePoint due;
+  std::uint64_t sequence = 0;
+
+  auto operator<=>(const QueueKey&) const = default;
+};
 
 struct ScheduledJob {
   StepJob job;
--- a/packages/coordination/src/task_placement.cc
+++ b/packages/coordination/src/task_placement.cc
@@ -180,7 +180,7 @@
   if (cores <= 0) return std::nullopt;
   double ahead = 0;
   for (const auto& [key, other] : scheduler.queue) {
-    if (std::get<int>(key) > job.priority) break;
+    if (key.lateness != Lateness::kInTime || key.priority > job.priority) break;
     for (std::size_t s = 0; s < other->steps.size(); ++s) {
       const JobStep& step = other->job.steps[s];
       ahead += static_cast<double>(other->steps[s].waiting) *
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -442,11 +442,18 @@
                 [&](const auto& entry) { return now - entry.second > memory; });
 }
 
-// Ends jobs whose callers no longer wait.
+// Says whether the job surely cannot end before its caller stops waiting. One
+// that has started may be almost done.
+bool IsOver(const ScheduledJob& job, TimePoint now) {
+  if (job.any_started) return now >= job.expires;
+  return now + ShortestRunTime(job.job) >= job.expires;
+}
+
+// Ends jobs whose callers no longer wait, or will not when the job can end.
 void ExpireJobs(TaskScheduler* scheduler, TimePoint now) {
   std::vector<ScheduledJob*> expired;
   for (auto& [id, job] : scheduler->jobs) {
-    if (now >= job.expires) expired.push_back(&job);
+    if (IsOver(job, now)) expired.push_back(&job);
   }
   for (ScheduledJob* job : expired) {
     const bool started = job->any_started;
@@ -474,7 +481,7 @@
   const milliseconds stretched(static_cast<std::int64_t>(
       static_cast<double>(LongestChain(job).count()) * job.stretch));
   scheduled.objective = scheduled.arrived + stretched + job.slack;
-  scheduled.key = {job.priority, scheduled.objective,
+  scheduled.key = {Lateness::kInTime, job.priority, scheduled.objective,
                    scheduler->next_sequence++};
   scheduled.last_run = job.generation * kRunsPerGeneration;
   scheduled.any_started = job.generation > 0;
@@ -610,9 +617,42 @@
   }
 }
 
+// Returns the time that the rest of the job needs by its estimates.
+milliseconds RemainingChain(const ScheduledJob& job) {
+  std::vector<milliseconds> chain(job.steps.size());
+  milliseconds longest(0);
+  for (std::size_t s = 0; s < job.steps.size(); ++s) {
+    milliseconds before(0);
+    for (const std::uint32_t earlier : job.job.steps[s].after) {
+      before = std::max(before, chain[earlier]);
+    }
+    chain[s] = before;
+    if (job.steps[s].waiting > 0) chain[s] += job.job.steps[s].estimate;
+    longest = std::max(longest, chain[s]);
+  }
+  return longest;
+}
+
+// Moves jobs that can no longer be in time behind those that can.
+void MarkLateJobs(TaskScheduler* scheduler, TimePoint now) {
+  std::vector<ScheduledJob*> late;
+  for (const auto& [key, job] : scheduler->queue) {
+    if (key.lateness != Lateness::kInTime) break;
+    if (now + RemainingChain(*job) > job->objective) late.push_back(job);
+  }
+  for (ScheduledJob* job : late) {
+    scheduler->queue.erase(job->key);
+    job->key.lateness =
+        job->any_started ? Lateness::kLateStarted : Lateness::kLate;
+    job->key.due = job->expires;
+    scheduler->queue[job->key] = job;
+  }
+}
+
 // Looks at every worker and ends jobs whose callers no longer wait.
 void Sweep(TaskScheduler* scheduler, TimePoint now) {
   ExpireJobs(scheduler, now);
+  MarkLateJobs(scheduler, now);
   for (WorkerRuns* worker : scheduler->worker_list) {
     RunWorker(scheduler, worker, now);
   }
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -178,6 +178,34 @@
   EXPECT_EQ(harness.RunningOf("bulk"), 0U);
 }
 
+// In a burst, jobs that are already late must not make those late that could
+// still be in time. Load: one worker, a burst of twice what it runs in time.
+TEST(TaskSchedulerTest, LateJobsGoBehindThoseThatCanBeInTime) {
+  SchedulerHarness harness(1);
+  harness.Submit(Job("running", 2));
+  harness.Submit(Job("late", 1, 12'000));
+  harness.Run(milliseconds(160));
+  harness.Submit(Job("in_time", 1, 12'000, 1));
+  harness.Run(milliseconds(80));
+  EXPECT_EQ(harness.RunningOf("in_time"), 1U);
+  EXPECT_EQ(harness.RunningOf("late"), 0U);
+  harness.Run(milliseconds(250));
+  EXPECT_EQ(harness.RunningOf("late"), 1U);
+}
+
+// A caller must not wait until its deadline for a refusal that is certain.
+TEST(TaskSchedulerTest, JobThatCanNoLongerEndIsRefusedBeforeItsDeadline) {
+  SchedulerHarness harness(1);
+  harness.run_time = milliseconds(3000);
+  harness.Submit(Job("running", 2));
+  StepJob job = Job("j1", 1, 12'000);
+  job.remaining = milliseconds(500);
+  harness.Submit(job);
+  harness.Run(milliseconds(420));
+  ASSERT_TRUE(harness.AnswerOf("j1").has_value());
+  EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kRefused);
+}
+
 TEST(TaskSchedulerTest, LaterStepsWaitForEarlierOnes) {
   SchedulerHarness harness(4);
   StepJob job = Job("j1", 2);
