Keep early requests, and answer a cancelled job as not completed

(2) Requests that reach a new daemon before its configuration were refused, though the configuration comes some 20 ms later. (3) The longest lease of the settings was read and not used. (4) The clean-up of process tests killed process ids that might by then belong to other processes.

--- a/bench/scheduling_experiment.cc
+++ b/bench/scheduling_experiment.cc
@@ -15,6 +15,7 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -339,7 +340,8 @@
   JobStep step;
   step.count = static_cast<std::uint32_t>(
       std::max(1.0, std::round(Spread(experiment, kind.width, kSpread))));
-  step.demand = {experiment->options.core_task * 1000, kTaskMemoryMb, 0};
+  step.demand = {std::int64_t{experiment->options.core_task} * 1000,
+                 kTaskMemoryMb, 0};
   const double error = std::uniform_real_distribution<double>(
       1 - kEstimateError, 1 + kEstimateError)(experiment->random);
   step.estimate = milliseconds(
@@ -405,7 +407,8 @@
     worker.id = fmt::format("w{:04}", i);
     worker.service = "desk";
     worker.address = fmt::format("127.0.0.1:{}", 1000 + i);
-    worker.capacity = {experiment->options.core_worker * 1000, 65'536, 0};
+    worker.capacity = {std::int64_t{experiment->options.core_worker} * 1000,
+                       65'536, 0};
     UpdateWorker(&experiment->scheduler, worker, experiment->now);
     experiment->workers[worker.id].speed =
         std::uniform_real_distribution<double>(0.8, 1.25)(experiment->random);
--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -8,12 +8,12 @@
 #define SEQUOIAPATH_COORDINATION_TASK_SCHEDULER_H_
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -96,7 +96,10 @@
   TimePoint due;
   std::uint64_t sequence = 0;
 
-  auto operator<=>(const QueueKey&) const = default;
+  bool operator<(const QueueKey& other) const {
+    return std::tie(this->lateness, this->priority, this->due, this->sequence) <
+           std::tie(other.lateness, other.priority, other.due, other.sequence);
+  }
 };
 
 struct ScheduledJob {
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -49,6 +49,9 @@
 constexpr Duration kStopReserve = milliseconds(400);
 constexpr Duration kStopCheckInterval = milliseconds(50);
 constexpr Duration kStopFlush = milliseconds(50);
+// Workers cut longer leases down; the reserve covers rounding.
+constexpr milliseconds kLeaseReserve{50};
+constexpr int kHoldsPerLease = 3;
 constexpr Duration kSuppressedLinesInterval = std::chrono::seconds(1);
 constexpr std::size_t kMaxCallerBody = 4u << 20;
 constexpr std::size_t kMaxPeerBody = 16u << 20;
@@ -735,6 +738,18 @@
                          [daemon] { ReportSuppressed(daemon); });
 }
 
+// Adapts the scheduler's times to the longest lease that workers grant.
+SchedulerTimes TimesFor(const EntrySettings& settings) {
+  SchedulerTimes times;
+  if (settings.longest_lease.count() == 0) return times;
+  const milliseconds lease = settings.longest_lease - kLeaseReserve;
+  times.unknown_runs += lease - times.lease.lease;
+  times.lease.lease = lease;
+  // A lost reply must not end what runs.
+  times.hold_wait = std::min(times.hold_wait, lease / kHoldsPerLease);
+  return times;
+}
+
 void InitializeElection(EntryDaemonState* daemon) {
   const EntrySettings& settings = daemon->settings;
   DaemonReport& self = daemon->election.self;
@@ -805,8 +820,9 @@
                       .ConnectTimeout(internal::kPeerConnectTimeout)
                       .IdleTimeout(internal::kPeerReuseTimeout)
                       .Build();
-  daemon->service =
-      SchedulerServiceBuilder(this->loop, this->codecs.workers).Build();
+  daemon->service = SchedulerServiceBuilder(this->loop, this->codecs.workers)
+                        .Times(internal::TimesFor(daemon->settings))
+                        .Build();
   daemon->gateway = JobGatewayBuilder(this->loop, this->codecs.callers,
                                       internal::MakeAccess(daemon))
                         .Build();
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -20,6 +20,10 @@
 // The scheduler ends a job at the caller's limit; its answer needs a moment.
 constexpr milliseconds kAnswerSlack{50};
 constexpr milliseconds kNoSchedulerRetry{1000};
+// A new daemon reads its configuration within a few round trips. Requests that
+// arrive before wait so long for it, and so many at most.
+constexpr Duration kConfigurationWait = milliseconds(300);
+constexpr std::size_t kMaxEarlyRequests = 1000;
 // A job that arrives during a stop is taken only if so many times its estimate,
 // and the reserve for its wait, are left.
 constexpr int kStopEstimateFactor = 2;
@@ -48,12 +52,20 @@
   std::uint32_t submissions = 0;
 };
 
+// A request that arrived before the configuration.
+struct EarlyRequest {
+  HttpRequest request;
+  HttpResponder responder;
+  TimePoint arrived;
+};
+
 struct JobGatewayState {
   EventLoop* loop = nullptr;
   CallerCodec codec;
   SchedulerAccess access;
   RouteTable routes;
   std::unordered_map<std::string, GatewayJob> jobs;
+  std::vector<EarlyRequest> early;
   std::uint64_t next_submission = 1;
   bool retry_scheduled = false;
   std::optional<TimePoint> stop;  // When the process ends.
@@ -122,12 +134,22 @@
   job.responder.Respond(gateway->codec.encode_answer(answer));
 }
 
+// The answer to a submission whose job was cancelled: its tasks may have run,
+// and it has no state that the caller could rely on.
+StepJobAnswer EndedByCancel() {
+  return {StepJobOutcome::kExpired, "cancelled", milliseconds(0)};
+}
+
 void OnResult(JobGatewayState* gateway, const std::string& id,
               std::uint64_t submission, const SubmissionResult& result) {
   const auto found = gateway->jobs.find(id);
   if (found == gateway->jobs.end()) return;
   GatewayJob& job = found->second;
   if (job.submission != submission) return;
+  if (result.delivered && result.answer.outcome == StepJobOutcome::kCancelled) {
+    AnswerCaller(gateway, id, EndedByCancel());
+    return;
+  }
   if (result.delivered && result.answer.outcome != StepJobOutcome::kMoved) {
     AnswerCaller(gateway, id, result.answer);
     return;
@@ -289,7 +311,8 @@
 }
 
 void AcceptJob(JobGatewayState* gateway, StepJob job, const Route& route,
-               const HttpRequest& request, const HttpResponder& responder) {
+               const HttpRequest& request, const HttpResponder& responder,
+               TimePoint arrived) {
   const std::string id = job.id;
   const auto known = gateway->jobs.find(id);
   WatchAbort(gateway, id, responder);
@@ -301,13 +324,12 @@
   }
   const milliseconds timeout = gateway->codec.caller_timeout(request).value_or(
       route.timeout.count() > 0 ? route.timeout : kDefaultTimeout);
-  const TimePoint now = gateway->loop->Now();
   GatewayJob accepted{.job = std::move(job),
                       .route = route.name,
                       .config_version = gateway->routes.version,
                       .responder = responder,
-                      .arrived = now,
-                      .expires = now + timeout,
+                      .arrived = arrived,
+                      .expires = arrived + timeout,
                       .submitted_to = "",
                       .former_scheduler = "",
                       .former_workers = nullptr,
@@ -326,7 +348,8 @@
 }
 
 void HandlePost(JobGatewayState* gateway, const Route& route,
-                const HttpRequest& request, const HttpResponder& responder) {
+                const HttpRequest& request, const HttpResponder& responder,
+                TimePoint arrived) {
   if (gateway->routes.max_body_bytes > 0 &&
       request.body.size() > gateway->routes.max_body_bytes) {
     ++gateway->counts.malformed;
@@ -343,7 +366,7 @@
     RefuseWhileStopping(gateway, job, responder);
     return;
   }
-  AcceptJob(gateway, std::move(job), route, request, responder);
+  AcceptJob(gateway, std::move(job), route, request, responder, arrived);
 }
 
 std::string RestOfPath(const HttpRequest& request, const Route& route) {
@@ -375,10 +398,65 @@
   CancelSubmission(gateway, &found->second);
   const StepJobAnswer cancelled{StepJobOutcome::kCancelled, "cancelled",
                                 milliseconds(0)};
-  AnswerCaller(gateway, id, cancelled);
+  AnswerCaller(gateway, id, EndedByCancel());
   responder.Respond(gateway->codec.encode_answer(cancelled));
 }
 
+void HandleRouted(JobGatewayState* gateway, const HttpRequest& request,
+                  const HttpResponder& responder, TimePoint arrived) {
+  const Route* route =
+      FindRoute(gateway->routes,
+                FindHeader(request.headers, "host").value_or(""), request.path);
+  if (route == nullptr) {
+    ++gateway->counts.unknown_route;
+    Log(LogLevel::kInfo, "unknown_route",
+        {{"path", request.path}, {"config", gateway->routes.version}});
+    RespondText(responder, kStatusNotFound, "no such queue");
+    return;
+  }
+  if (request.method == "POST") {
+    HandlePost(gateway, *route, request, responder, arrived);
+  } else if (request.method == "GET") {
+    HandleGet(gateway, *route, request, responder);
+  } else if (request.method == "DELETE") {
+    HandleDelete(gateway, *route, request, responder);
+  } else {
+    RespondText(responder, kStatusMethodNotAllowed, "POST, GET or DELETE");
+  }
+}
+
+void RefuseWithoutConfiguration(JobGatewayState* gateway,
+                                const HttpRequest& request,
+                                const HttpResponder& responder) {
+  ++gateway->counts.refused;
+  Log(LogLevel::kInfo, "refused",
+      {{"path", request.path}, {"reason", "no_configuration"}});
+  responder.Respond(gateway->codec.encode_answer(
+      {StepJobOutcome::kRefused, "no_configuration", kNoSchedulerRetry}));
+}
+
+// Refuses the early requests that arrived at `limit` or before.
+void RefuseEarlyRequests(JobGatewayState* gateway, TimePoint limit) {
+  std::erase_if(gateway->early, [&](const EarlyRequest& early) {
+    if (early.arrived > limit) return false;
+    RefuseWithoutConfiguration(gateway, early.request, early.responder);
+    return true;
+  });
+}
+
+void KeepEarlyRequest(JobGatewayState* gateway, const HttpRequest& request,
+                      const HttpResponder& responder) {
+  if (gateway->stop || gateway->early.size() >= kMaxEarlyRequests) {
+    RefuseWithoutConfiguration(gateway, request, responder);
+    return;
+  }
+  const TimePoint now = gateway->loop->Now();
+  gateway->early.push_back({request, responder, now});
+  gateway->loop->Schedule(kConfigurationWait, [gateway, now] {
+    RefuseEarlyRequests(gateway, now);
+  });
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -395,39 +473,19 @@
                         const HttpResponder& responder) {
   internal::JobGatewayState* gateway = this->state.get();
   if (gateway->routes.version == 0) {
-    ++gateway->counts.refused;
-    Log(LogLevel::kInfo, "refused",
-        {{"path", request.path}, {"reason", "no_configuration"}});
-    responder.Respond(gateway->codec.encode_answer(
-        {StepJobOutcome::kRefused, "no_configuration",
-         internal::kNoSchedulerRetry}));
-    return;
-  }
-  const Route* route =
-      FindRoute(gateway->routes,
-                FindHeader(request.headers, "host").value_or(""), request.path);
-  if (route == nullptr) {
-    ++gateway->counts.unknown_route;
-    Log(LogLevel::kInfo, "unknown_route",
-        {{"path", request.path}, {"config", gateway->routes.version}});
-    internal::RespondText(responder, internal::kStatusNotFound,
-                          "no such queue");
-    return;
-  }
-  if (request.method == "POST") {
-    internal::HandlePost(gateway, *route, request, responder);
-  } else if (request.method == "GET") {
-    internal::HandleGet(gateway, *route, request, responder);
-  } else if (request.method == "DELETE") {
-    internal::HandleDelete(gateway, *route, request, responder);
+    internal::KeepEarlyRequest(gateway, request, responder);
   } else {
-    internal::RespondText(responder, internal::kStatusMethodNotAllowed,
-                          "POST, GET or DELETE");
+    internal::HandleRouted(gateway, request, responder, gateway->loop->Now());
   }
 }
 
 void JobGateway::SetRoutes(RouteTable routes) {
   this->state->routes = std::move(routes);
+  for (const internal::EarlyRequest& early :
+       std::exchange(this->state->early, {})) {
+    internal::HandleRouted(this->state.get(), early.request, early.responder,
+                           early.arrived);
+  }
 }
 
 std::uint64_t JobGateway::RoutesVersion() const {
@@ -444,6 +502,7 @@
 void JobGateway::BeginStop(TimePoint stop) { this->state->stop = stop; }
 
 void JobGateway::EndJobs() {
+  internal::RefuseEarlyRequests(this->state.get(), TimePoint::max());
   std::vector<std::string> left;
   for (const auto& [id, job] : this->state->jobs) left.push_back(id);
   for (const std::string& id : left) {
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -5,9 +5,19 @@
 run_dir=$(mktemp -d)
 pids=()
 
+# is_child PID: whether the process is a child of this script. The id of one that
+# has ended may belong to another process by now.
+is_child() {
+  [ "$(sed -n 's/^PPid:[[:space:]]*//p' "/proc/$1/status" 2>/dev/null)" = "$$" ]
+}
+
 # Ends every process that this script started and removes its files.
 cleanup() {
-  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -9 "$pid" 2>/dev/null; done
+  for pid in "${pids[@]}"; do
+    is_child "$pid" || continue
+    kill -CONT "$pid" 2>/dev/null
+    kill -9 "$pid" 2>/dev/null
+  done
   wait 2>/dev/null
   rm -rf "$run_dir"
 }
--- a/tests/error/job_gateway_test.cc
+++ b/tests/error/job_gateway_test.cc
@@ -122,6 +122,20 @@
   EXPECT_TRUE(this->submissions.empty());
 }
 
+// After a restart callers reconnect before the daemon has its configuration.
+// They are served as soon as it comes.
+TEST_F(JobGatewayErrorTest, EarlyRequestWaitsForTheConfiguration) {
+  this->Post(milliseconds(1000));
+  EXPECT_FALSE(this->WaitForResponse(milliseconds(100)));
+  this->SetRoutes();
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  EXPECT_GE(this->submissions[0].job.age, milliseconds(50));
+  EXPECT_LE(this->submissions[0].job.remaining, milliseconds(950));
+  this->submissions[0].callback(Delivered(StepJobOutcome::kCompleted));
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->status, 200);
+}
+
 TEST_F(JobGatewayErrorTest, ReturnsTheSchedulersAnswer) {
   this->SetRoutes();
   this->Post(seconds(2));
@@ -216,6 +230,17 @@
   EXPECT_EQ(this->cancelled.size(), 1U);
 }
 
+// A cancel that another daemon sent, or that came late, ends the job at the
+// scheduler. The caller must not read that as the state of a finished job.
+TEST_F(JobGatewayErrorTest, CancelElsewhereIsNoSuccess) {
+  this->SetRoutes();
+  this->Post(milliseconds(1000));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  this->submissions[0].callback(Delivered(StepJobOutcome::kCancelled));
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->status, 504);
+}
+
 TEST_F(JobGatewayErrorTest, RefusesMalformedAndUnknownRequests) {
   this->SetRoutes();
   this->Post(seconds(2), "{");
