Log each job that can no longer be in time

Cause: the scheduler moved late jobs behind the others without a line that says so, so a late answer could not be explained from its id. Change: one line job_late with the inputs that decided it.

--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -641,6 +641,11 @@
     if (now + RemainingChain(*job) > job->objective) late.push_back(job);
   }
   for (ScheduledJob* job : late) {
+    Note(scheduler, "job_late", "", job->job.id,
+         fmt::format("rest_ms={} objective_in_ms={} started={} queued_jobs={}",
+                     RemainingChain(*job).count(),
+                     (job->objective - now) / milliseconds(1), job->any_started,
+                     scheduler->queue.size()));
     scheduler->queue.erase(job->key);
     job->key.lateness =
         job->any_started ? Lateness::kLateStarted : Lateness::kLate;
