Log what allows tasks of a resubmitted job to start

Change: former_runs_resolved gives the basis (reports or ended leases), the first missing report, the wait and the number of workers known here and to the job's daemon. second_run_found and a counter report a run of a task that is placed elsewhere. worker_listed, worker_unlisted and worker_forgotten give the life of a worker's entry. No decision changes.

--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -124,11 +124,13 @@
   // This scheduler has started a task of the job, or a former one may have.
   bool any_started = false;
   TimePoint submitted;  // When this scheduler received the job.
-  // No new task starts before this time, unless all workers have reported the
-  // runs that former schedulers started.
-  TimePoint former_runs_unknown_until;
-  // When the scheduler next checks whether all workers have reported these
-  // runs. Used until `former_runs_unknown_until`.
+  // All runs of the job's tasks that former schedulers started are known or
+  // have ended. No new task starts before.
+  bool former_runs_known = true;
+  // When the leases that former schedulers granted have ended.
+  TimePoint former_leases_end;
+  // When the scheduler next checks whether all workers have reported the runs
+  // that former schedulers started.
   TimePoint next_report_check;
 };
 
@@ -175,6 +177,8 @@
   std::uint64_t orphans_stopped = 0;
   std::uint64_t runs_failed = 0;
   std::uint64_t runs_lost = 0;
+  // Runs found on a worker while their task was placed on another one.
+  std::uint64_t second_runs = 0;
   std::uint64_t jobs = 0;
 };
 
--- a/packages/coordination/include/sequoiapath/coordination/worker_runs.h
+++ b/packages/coordination/include/sequoiapath/coordination/worker_runs.h
@@ -56,6 +56,9 @@
   kForeign,
 };
 
+// Returns a short name for logs. Thread-safe.
+const char* ToString(ClaimState state);
+
 struct WorkerRuns {
   WorkerDescription description;
   ClaimState claim = ClaimState::kUnclaimed;
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -6,6 +6,8 @@
 #include <limits>
 #include <utility>
 
+#include "former_runs.h"
+#include "scheduler_log.h"
 #include "sequoiapath/coordination/scheduler_election.h"
 #include "task_placement.h"
 
@@ -20,7 +22,6 @@
 // orders of earlier submissions, whose run numbers are lower.
 constexpr std::uint32_t kRunsPerGeneration = 1000;
 constexpr Duration kSweepInterval = milliseconds(10);
-constexpr Duration kReportCheckInterval = milliseconds(20);
 constexpr Duration kCleanupInterval = milliseconds(100);
 constexpr milliseconds kLongestFenceStep{3'600'000};
 // How long a worker gets no new task after it rejected a start order for lack
@@ -30,16 +31,6 @@
 // Weight of the latest run in the moving average of a worker's speed.
 constexpr double kSpeedSmoothing = 0.2;
 
-void LogEvent(TaskScheduler* scheduler, const char* event, std::string worker,
-              std::string job, std::string detail) {
-  scheduler->actions.push_back(SchedulerLogEntry{
-      event, std::move(worker), std::move(job), std::move(detail)});
-}
-
-std::string Describe(const TaskName& task, std::uint32_t run) {
-  return fmt::format("task={}.{} run={}", task.step, task.index, run);
-}
-
 ScheduledJob* FindJob(TaskScheduler* scheduler, const std::string& id) {
   const auto found = scheduler->jobs.find(id);
   return found == scheduler->jobs.end() ? nullptr : &found->second;
@@ -223,6 +214,18 @@
   for (const EndedRun& end : ended) ApplyEnd(scheduler, worker, end, now);
 }
 
+// Logs a run of a task that is already placed on another worker, so that both
+// may execute it at the same time, or that has already succeeded.
+void LogSecondRun(TaskScheduler* scheduler, const WorkerRuns& worker,
+                  const TaskName& name, const WorkerRun& run,
+                  const ScheduledTask& task) {
+  if (task.state == TaskState::kPlaced) ++scheduler->counts.second_runs;
+  LogEvent(
+      scheduler, "second_run_found", worker.description.id, name.job,
+      fmt::format("{} fence={} done={} placed_on={}", Describe(name, run.run),
+                  worker.fence, task.state == TaskState::kDone, task.worker));
+}
+
 // Assigns a run on a worker to its task. This includes a run that is being
 // stopped, because the task must not start elsewhere before that run has ended.
 // If the task is already placed or done, the run is stopped.
@@ -231,6 +234,7 @@
   const ScheduledTask* task = FindTask(job, name);
   if (task == nullptr) return;
   if (task->state != TaskState::kWaiting) {
+    LogSecondRun(scheduler, *worker, name, *run, *task);
     run->stop_wanted = true;
     MarkPending(scheduler, worker);
     return;
@@ -448,8 +452,11 @@
             !worker.listed && worker.runs.empty() &&
             !worker.renewal_in_flight &&
             now - worker.unlisted_at > scheduler->times.unlisted_grace;
-        if (removable) ForgetWorker(&scheduler->health, entry.first);
-        return removable;
+        if (!removable) return false;
+        LogEvent(scheduler, "worker_forgotten", entry.first, "",
+                 fmt::format("claim={}", ToString(worker.claim)));
+        ForgetWorker(&scheduler->health, entry.first);
+        return true;
       });
   if (erased > 0) RebuildWorkerList(scheduler);
 }
@@ -509,10 +516,8 @@
   scheduled.last_run = job.generation * kRunsPerGeneration;
   scheduled.any_started = job.generation > 0;
   scheduled.submitted = now;
-  if (job.generation > 0) {
-    scheduled.former_runs_unknown_until =
-        now + scheduler->times.resubmission_wait;
-  }
+  scheduled.former_runs_known = job.generation == 0;
+  scheduled.former_leases_end = now + scheduler->times.resubmission_wait;
   scheduled.job = std::move(job);
   InitializeSteps(&scheduled);
   const std::string id = scheduled.job.id;
@@ -577,37 +582,6 @@
   });
 }
 
-// Returns whether the worker has reported every run of the job that a former
-// scheduler started there. That holds if the worker rejects the former
-// scheduler's token, or if its report answers a renewal that was sent after the
-// job was submitted.
-bool ReportsRunsOf(const WorkerRuns& worker, const ScheduledJob& job) {
-  if (worker.claim != ClaimState::kClaimed || worker.unanswered_renewals > 0) {
-    return false;
-  }
-  return worker.fence > job.job.former_fence ||
-         worker.report_sent_at >= job.submitted;
-}
-
-// Returns whether all runs of the job that former schedulers started are known,
-// so that its other tasks may start.
-bool AllRunsAreReported(const TaskScheduler& scheduler,
-                        const ScheduledJob& job) {
-  // The store entry of a partitioned worker lapses, and the worker is removed
-  // here although it may still hold runs that the other side of the partition
-  // started.
-  const auto is_unknown = [&scheduler](const std::string& id) {
-    return !scheduler.workers.contains(id);
-  };
-  if (std::any_of(job.job.former_workers.begin(), job.job.former_workers.end(),
-                  is_unknown)) {
-    return false;
-  }
-  return std::all_of(
-      scheduler.workers.begin(), scheduler.workers.end(),
-      [&](const auto& entry) { return ReportsRunsOf(entry.second, job); });
-}
-
 // Places waiting tasks of the job's ready steps, as far as they fit.
 void PlaceJob(TaskScheduler* scheduler, PlacementView* view, ScheduledJob* job,
               TimePoint now) {
@@ -620,20 +594,6 @@
   }
 }
 
-// Returns whether tasks of the job may start now. Checks the reports of all
-// workers at most once per `kReportCheckInterval`: after a takeover many jobs
-// wait, and a check of all workers for each job in each pass would take longer
-// than the interval between passes.
-bool MayStartTasks(const TaskScheduler& scheduler, ScheduledJob* job,
-                   TimePoint now) {
-  if (now >= job->former_runs_unknown_until) return true;
-  if (now < job->next_report_check) return false;
-  job->next_report_check = now + kReportCheckInterval;
-  if (!AllRunsAreReported(scheduler, *job)) return false;
-  job->former_runs_unknown_until = now;
-  return true;
-}
-
 void PlaceTasks(TaskScheduler* scheduler, TimePoint now) {
   if (scheduler->queue.empty()) return;
   PlacementView view =
@@ -646,7 +606,7 @@
   }
   for (ScheduledJob* job : jobs) {
     if (view.largest_free_milli_cores < scheduler->smallest_demand) return;
-    if (!MayStartTasks(*scheduler, job, now)) continue;
+    if (!MayStartTasks(scheduler, job, now)) continue;
     PlaceJob(scheduler, &view, job, now);
   }
 }
@@ -900,6 +860,10 @@
   if (worker.draining && !runs.description.draining) {
     internal::LogEvent(scheduler, "worker_draining", worker.id, "", "");
   }
+  if (scheduler->fence != 0 && (added || !runs.listed)) {
+    internal::LogEvent(scheduler, "worker_listed", worker.id, "",
+                       fmt::format("address={} new={}", worker.address, added));
+  }
   runs.description = worker;
   runs.listed = true;
   internal::MarkPending(scheduler, &runs);
@@ -912,6 +876,9 @@
   if (found == scheduler->workers.end() || !found->second.listed) return;
   found->second.listed = false;
   found->second.unlisted_at = now;
+  if (scheduler->fence == 0) return;
+  internal::LogEvent(scheduler, "worker_unlisted", worker, "",
+                     fmt::format("runs={}", found->second.runs.size()));
 }
 
 void SubmitJob(TaskScheduler* scheduler, StepJob job, TimePoint now) {
--- a/packages/coordination/src/worker_runs.cc
+++ b/packages/coordination/src/worker_runs.cc
@@ -107,6 +107,18 @@
 }  // namespace
 }  // namespace internal
 
+const char* ToString(ClaimState state) {
+  switch (state) {
+    case ClaimState::kUnclaimed:
+      return "unclaimed";
+    case ClaimState::kClaimed:
+      return "claimed";
+    case ClaimState::kForeign:
+      return "foreign";
+  }
+  return "unknown";
+}
+
 WorkerTime EstimateClock(const WorkerRuns& worker, TimePoint now) {
   return worker.clock + std::chrono::floor<std::chrono::milliseconds>(
                             now - worker.clock_received_at);
--- a/packages/state/src/entry_metrics.cc
+++ b/packages/state/src/entry_metrics.cc
@@ -61,6 +61,7 @@
   AddCounter(text, "task_orphans_stopped_total", counts.orphans_stopped);
   AddCounter(text, "task_runs_failed_total", counts.runs_failed);
   AddCounter(text, "task_runs_lost_total", counts.runs_lost);
+  AddCounter(text, "task_second_runs_total", counts.second_runs);
   AddCounter(text, "scheduled_jobs_total", counts.jobs);
   Resources used;
   Resources capacity;
