Wait for a current list of workers before resubmitted tasks start

Callers saw: after a change of schedulers tasks ran twice at the same time (TWICE), most often while workers were being replaced. Cause: a successor held a resubmitted job to be free of unknown runs once all workers in its own list, and in that of the job's daemon, had reported. A scheduler reads new workers every 0.2 s, followers every 0.8 s. A worker that registered less than 0.8 s before the takeover is therefore used by the former scheduler and missing from both lists. The condition quantified over what the successor knew, not over what its predecessor may have used. Change: tasks of a resubmitted job start only if the list of workers was read from the store after the submission, or after every lease has ended as before. A worker registers in the store before any scheduler can use it, so such a list contains it. KeyValueClient reports when the data of a list or watch was requested and can end the pause between two watches; the daemon does so for each resubmitted job. Test: TaskSchedulerTest.TasksWaitForAListWithTheNewestWorkers fails without the condition (2 runs, 1 expected) and passes with it. KeyValueClientErrorTest.EndedPauseReadsTheLatestChanges covers the reads.

--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -188,6 +188,8 @@
   FencingToken fence = 0;  // Zero: this daemon does not schedule.
   bool partial = false;    // Only `home_workers` may be used.
   std::map<std::string, WorkerRuns> workers;
+  // All workers that the store listed at this time have been added.
+  TimePoint workers_listed_at;
   WorkerHealth health;
   std::unordered_map<std::string, ScheduledJob> jobs;
   // All jobs with waiting tasks.
@@ -212,6 +214,8 @@
   std::vector<WorkerRuns*> pending_workers;
   // In milli-cores: a lower bound of the demands of all waiting tasks.
   std::int64_t smallest_demand = 0;
+  // When the latest job that other schedulers had before was submitted.
+  TimePoint last_resubmission;
   TimePoint next_cleanup;
   TimePoint next_sweep;
   std::uint64_t next_renewal_id = 0;
@@ -249,6 +253,12 @@
 void UnlistWorker(TaskScheduler* scheduler, const std::string& worker,
                   TimePoint now);
 
+// Records that all workers that the store listed at `read_at` have been added.
+void SetWorkersListedAt(TaskScheduler* scheduler, TimePoint read_at);
+
+// Returns whether resubmitted jobs wait for a newer list of the workers.
+bool AwaitsWorkerList(const TaskScheduler& scheduler, TimePoint now);
+
 // Accepts a job. Its answer follows as an action, possibly at once. A job that
 // is already in progress keeps its tasks, and one that has completed or failed
 // within `retention_time` gets the same answer again.
--- a/packages/coordination/src/former_runs.cc
+++ b/packages/coordination/src/former_runs.cc
@@ -39,6 +39,10 @@
 // former schedulers started; nothing if all of them are known.
 std::optional<MissingReport> FindMissingReport(const TaskScheduler& scheduler,
                                                const ScheduledJob& job) {
+  // A former scheduler may have used a worker that has registered only lately.
+  if (scheduler.workers_listed_at < job.submitted) {
+    return MissingReport{"", "old_worker_list"};
+  }
   // The store entry of a partitioned worker lapses, and the worker is removed
   // here although it may still hold runs that the other side of the partition
   // started.
@@ -58,11 +62,12 @@
   LogEvent(
       scheduler, "former_runs_resolved", first.worker, job.job.id,
       fmt::format("basis={} missing={} waited_ms={} generation={} "
-                  "former_fence={} former_workers={} workers={}",
+                  "former_fence={} former_workers={} workers={} list_age_ms={}",
                   missing ? "leases_ended" : "reports", first.reason,
                   (now - job.submitted) / milliseconds(1), job.job.generation,
                   job.job.former_fence, job.job.former_workers.size(),
-                  scheduler->workers.size()));
+                  scheduler->workers.size(),
+                  (now - scheduler->workers_listed_at) / milliseconds(1)));
 }
 
 }  // namespace
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -517,6 +517,7 @@
   scheduled.any_started = job.generation > 0;
   scheduled.submitted = now;
   scheduled.former_runs_known = job.generation == 0;
+  if (job.generation > 0) scheduler->last_resubmission = now;
   scheduled.former_leases_end = now + scheduler->times.resubmission_wait;
   scheduled.job = std::move(job);
   InitializeSteps(&scheduled);
@@ -881,6 +882,19 @@
                      fmt::format("runs={}", found->second.runs.size()));
 }
 
+void SetWorkersListedAt(TaskScheduler* scheduler, TimePoint read_at) {
+  if (scheduler->workers_listed_at < scheduler->last_resubmission) {
+    scheduler->placement_needed = true;
+  }
+  scheduler->workers_listed_at =
+      std::max(scheduler->workers_listed_at, read_at);
+}
+
+bool AwaitsWorkerList(const TaskScheduler& scheduler, TimePoint now) {
+  return scheduler.workers_listed_at < scheduler.last_resubmission &&
+         now < scheduler.last_resubmission + scheduler.times.resubmission_wait;
+}
+
 void SubmitJob(TaskScheduler* scheduler, StepJob job, TimePoint now) {
   const std::string id = job.id;
   const auto answered = scheduler->answers.find(id);
--- a/packages/state/include/sequoiapath/state/key_value_client.h
+++ b/packages/state/include/sequoiapath/state/key_value_client.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "sequoiapath/protocol/key_value_codec.h"
@@ -22,9 +23,10 @@
 }  // namespace internal
 
 // Receives the items of a prefix. If `complete` is true, `page` lists all items
-// and replaces the earlier ones; otherwise it contains the changes.
-using KeyValueObserver =
-    std::function<void(const KeyValuePage& page, bool complete)>;
+// and replaces the earlier ones; otherwise it contains the changes. All changes
+// that the service had acknowledged before `read_at` have been received.
+using KeyValueObserver = std::function<void(const KeyValuePage& page,
+                                            bool complete, TimePoint read_at)>;
 
 // Calls to the service by kind, and the failed ones, since the client was
 // created. Grants and puts count as writes.
@@ -55,6 +57,10 @@
   void WatchBusyPrefix(std::string prefix, std::function<Duration()> pause,
                        KeyValueObserver observer);
 
+  // Ends the pause between two watches of `prefix`, if there is one. Has no
+  // effect if the prefix is not watched.
+  void EndWatchPause(std::string_view prefix);
+
   // Puts `item` under a lease of `ttl` and renews the lease. Puts the item
   // again under a new lease if the lease has ended. Precondition: not called
   // before.
--- a/packages/state/include/sequoiapath/state/scheduler_service.h
+++ b/packages/state/include/sequoiapath/state/scheduler_service.h
@@ -52,6 +52,10 @@
   // Records that the store no longer lists a worker.
   void UnlistWorker(const std::string& worker);
 
+  // Records that all workers that the store listed at `read_at` have been
+  // added.
+  void SetWorkersListedAt(TimePoint read_at);
+
   // Submits a job for the daemon `origin`. `callback` is called once, possibly
   // before Submit returns. If the scheduler already has the job, the job
   // continues and the new callback replaces the earlier one.
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -45,6 +45,8 @@
 // daemons read them in larger batches, so that they can replace the scheduler.
 constexpr Duration kSchedulerWatchPause = milliseconds(200);
 constexpr Duration kFollowerWatchPause = milliseconds(800);
+// The same pause while resubmitted jobs wait for a newer list of the workers.
+constexpr Duration kTakeoverWatchPause = milliseconds(20);
 // The store counts as unresponsive after this time without a response. While it
 // is available, it responds to lease renewals more often.
 constexpr Duration kStoreSilenceTimeout = milliseconds(2500);
@@ -185,27 +187,32 @@
   SendHeartbeats(daemon);
 }
 
+Duration WorkerWatchPause(const EntryDaemonState& daemon) {
+  if (daemon.election.self.claim == 0) return kFollowerWatchPause;
+  return AwaitsWorkerList(daemon.service->scheduler(), daemon.loop->Now())
+             ? kTakeoverWatchPause
+             : kSchedulerWatchPause;
+}
+
 void WatchStore(EntryDaemonState* daemon) {
   const KeyValueCodec& codec = daemon->codecs.store;
   daemon->store->WatchPrefix(
       std::string(codec.config_prefix),
-      [daemon](const KeyValuePage& page, bool /*complete*/) {
-        OnConfigChange(daemon, page);
-      });
+      [daemon](const KeyValuePage& page, bool /*complete*/,
+               TimePoint /*read_at*/) { OnConfigChange(daemon, page); });
   daemon->store->WatchBusyPrefix(
       std::string(codec.worker_prefix),
-      [daemon] {
-        return daemon->election.self.claim != 0 ? kSchedulerWatchPause
-                                                : kFollowerWatchPause;
-      },
-      [daemon](const KeyValuePage& page, bool complete) {
+      [daemon] { return WorkerWatchPause(*daemon); },
+      [daemon](const KeyValuePage& page, bool complete, TimePoint read_at) {
         ApplyCatalogChange(daemon,
                            ApplyWorkers(&daemon->catalog, page, complete));
+        daemon->service->SetWorkersListedAt(read_at);
+      });
+  daemon->store->WatchPrefix(
+      std::string(kDaemonPrefix),
+      [daemon](const KeyValuePage& page, bool complete, TimePoint /*read_at*/) {
+        OnDaemonsChange(daemon, page, complete);
       });
-  daemon->store->WatchPrefix(std::string(kDaemonPrefix),
-                             [daemon](const KeyValuePage& page, bool complete) {
-                               OnDaemonsChange(daemon, page, complete);
-                             });
   const EntrySettings& settings = daemon->settings;
   daemon->store->PutWithLease(
       {std::string(kDaemonPrefix) + settings.vm,
@@ -503,13 +510,25 @@
   return submission;
 }
 
+// Submits a job to this daemon's scheduler. A job that another scheduler had
+// before waits for a list of the workers, which is requested at once.
+void SubmitToService(EntryDaemonState* daemon, StepJob job, std::string origin,
+                     StepJobCallback callback) {
+  const bool resubmitted = job.generation > 0;
+  daemon->service->Submit(std::move(job), std::move(origin),
+                          std::move(callback));
+  if (resubmitted) {
+    daemon->store->EndWatchPause(daemon->codecs.store.worker_prefix);
+  }
+}
+
 void SubmitToLeader(EntryDaemonState* daemon, const std::string& leader,
                     StepJob job, const SubmissionCallback& callback) {
   if (leader == daemon->election.self.vm) {
-    daemon->service->Submit(std::move(job), OwnOrigin(*daemon),
-                            [callback](const StepJobAnswer& answer) {
-                              callback({true, answer, true});
-                            });
+    SubmitToService(daemon, std::move(job), OwnOrigin(*daemon),
+                    [callback](const StepJobAnswer& answer) {
+                      callback({true, answer, true});
+                    });
     return;
   }
   const Endpoint* endpoint = EndpointOf(*daemon, leader);
@@ -611,8 +630,9 @@
   }
   const std::string origin(
       FindHeader(request.headers, kOriginHeader).value_or(""));
-  daemon->service->Submit(
-      std::move(*decoded), origin, [responder](const StepJobAnswer& answer) {
+  SubmitToService(
+      daemon, std::move(*decoded), origin,
+      [responder](const StepJobAnswer& answer) {
         responder.Respond(MakeOkResponse(EncodePeerMessage(answer)));
       });
 }
--- a/packages/state/src/key_value_client.cc
+++ b/packages/state/src/key_value_client.cc
@@ -42,6 +42,9 @@
   // Returns the pause between two watches; set for a busy prefix only.
   std::function<Duration()> busy_pause;
   HttpRequestId watch_request = 0;  // Id of the pending watch.
+  TimePoint read_at;                // When the latest list or watch was sent.
+  bool paused = false;              // Waiting to send the next watch.
+  std::uint64_t pauses = 0;         // Number of pauses so far.
   bool resend_watch = false;        // The watch was cancelled to send it again.
   std::uint64_t revision = 0;       // The next watch returns later changes.
   bool listed = false;              // False: the next call lists the prefix.
@@ -159,7 +162,7 @@
   }
   watched->listed = true;
   watched->revision = listing.revision;
-  watched->observer(listing, /*complete=*/true);
+  watched->observer(listing, /*complete=*/true, watched->read_at);
   listing = {};
   SendWatch(client, watched);
 }
@@ -168,6 +171,7 @@
   ++client->counts.ranges;
   const auto& items = watched->listing.items;
   const std::string after = items.empty() ? "" : items.back().key;
+  if (items.empty()) watched->read_at = client->loop->Now();
   client->http->Send(client->codec.encode_range(watched->prefix, after),
                      kCallTimeout, [client, watched](const HttpResult& result) {
                        RecordResult(client, result);
@@ -176,6 +180,11 @@
                      });
 }
 
+void EndPause(KeyValueClientState* client, WatchedPrefix* watched) {
+  if (!std::exchange(watched->paused, false)) return;
+  SendWatch(client, watched);
+}
+
 void OnWatchReply(KeyValueClientState* client, WatchedPrefix* watched,
                   KeyValuePageResult result) {
   if (const auto* failure = std::get_if<KeyValueFailure>(&result)) {
@@ -186,16 +195,19 @@
   const auto& page = std::get<KeyValuePage>(result);
   watched->revision = std::max(watched->revision, page.revision);
   if (!page.items.empty() || !page.removed.empty()) {
-    watched->observer(page, /*complete=*/false);
+    watched->observer(page, /*complete=*/false, watched->read_at);
   }
   const Duration pause =
       watched->busy_pause ? watched->busy_pause() : kWatchPause;
-  client->loop->Schedule(pause,
-                         [client, watched] { SendWatch(client, watched); });
+  watched->paused = true;
+  client->loop->Schedule(pause, [client, watched, id = ++watched->pauses] {
+    if (watched->pauses == id) EndPause(client, watched);
+  });
 }
 
 void SendWatch(KeyValueClientState* client, WatchedPrefix* watched) {
   ++client->counts.watches;
+  watched->read_at = client->loop->Now();
   const milliseconds wait = watched->busy_pause ? kBusyWatchWait : kWatchWait;
   const milliseconds timeout_margin =
       watched->busy_pause ? kBusyWatchTimeoutMargin : kCallTimeout;
@@ -324,6 +336,14 @@
   this->state->watched_prefixes.back()->busy_pause = std::move(pause);
 }
 
+void KeyValueClient::EndWatchPause(std::string_view prefix) {
+  for (const auto& watched : this->state->watched_prefixes) {
+    if (watched->prefix == prefix) {
+      internal::EndPause(this->state.get(), watched.get());
+    }
+  }
+}
+
 void KeyValueClient::PutWithLease(KeyValueItem item,
                                   std::chrono::milliseconds ttl) {
   this->state->leased_key.item = std::move(item);
--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -203,6 +203,11 @@
                             this->state->loop->Now());
 }
 
+void SchedulerService::SetWorkersListedAt(TimePoint read_at) {
+  sequoiapath::SetWorkersListedAt(&this->state->scheduler, read_at);
+  internal::ScheduleSchedulerRun(this->state.get());
+}
+
 void SchedulerService::Submit(StepJob job, std::string origin,
                               StepJobCallback callback) {
   if (this->state->scheduler.fence == 0) {
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -63,6 +63,9 @@
   void Run(milliseconds length) {
     const TimePoint end = this->now + length;
     do {
+      if (this->store_readable) {
+        SetWorkersListedAt(&this->scheduler, this->now);
+      }
       RunScheduler(&this->scheduler, this->now);
       this->Deliver();
       this->now += milliseconds(10);
@@ -95,6 +98,7 @@
   std::map<std::string, fakes::LeaseWorker> workers;
   std::set<std::string> unresponsive;  // Workers that reply to no order.
   std::set<std::string> failing;       // Workers whose tasks fail after 1 ms.
+  bool store_readable = true;          // The list of workers is current.
   milliseconds run_time{200};
   std::map<std::string, StepJobAnswer> answers;
   TimePoint now = kStart;
@@ -354,6 +358,37 @@
   EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kCompleted);
 }
 
+// Guards against two runs of a task at a time after a takeover: the former
+// scheduler has used a worker that the successor has not yet read from the
+// store.
+TEST(TaskSchedulerTest, TasksWaitForAListWithTheNewestWorkers) {
+  SchedulerHarness harness(3);
+  harness.run_time = milliseconds(600);
+  for (const char* id : {"w0", "w1"}) {
+    harness.scheduler.workers.at(id).description.draining = true;
+  }
+  harness.Submit(Job("j1"));
+  ASSERT_EQ(harness.workers["w2"].running.size(), 1U);
+  harness.scheduler = {};
+  harness.store_readable = false;
+  for (int i = 0; i < 2; ++i) {
+    UpdateWorker(&harness.scheduler, Worker(i), harness.now);
+  }
+  BeginScheduling(&harness.scheduler, kSchedulerFence + 1, harness.now);
+  StepJob again = Job("j1");
+  again.generation = 1;
+  again.former_fence = kSchedulerFence;
+  again.former_workers = {"w0", "w1"};
+  harness.Submit(std::move(again));
+  harness.Run(milliseconds(200));
+  EXPECT_EQ(harness.RunningOf("j1"), 1U);
+  UpdateWorker(&harness.scheduler, Worker(2), harness.now);
+  harness.store_readable = true;
+  harness.Run(milliseconds(600));
+  EXPECT_EQ(harness.scheduler.counts.starts, 0U);
+  EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kCompleted);
+}
+
 // Guards against two runs of a task at a time: the store entry of a partitioned
 // worker lapses, so the scheduler on the other side of the partition has
 // removed the worker while it still runs a task of the job.
--- a/tests/error/key_value_client_test.cc
+++ b/tests/error/key_value_client_test.cc
@@ -52,16 +52,17 @@
   }
 
   void WatchPrefix(const std::string& prefix) {
-    this->client->WatchPrefix(prefix,
-                              [this](const KeyValuePage& page, bool complete) {
-                                if (complete) this->items.clear();
-                                for (const KeyValueItem& item : page.items) {
-                                  this->items[item.key] = item.value;
-                                }
-                                for (const std::string& key : page.removed) {
-                                  this->items.erase(key);
-                                }
-                              });
+    this->client->WatchPrefix(
+        prefix,
+        [this](const KeyValuePage& page, bool complete, TimePoint /*read_at*/) {
+          if (complete) this->items.clear();
+          for (const KeyValueItem& item : page.items) {
+            this->items[item.key] = item.value;
+          }
+          for (const std::string& key : page.removed) {
+            this->items.erase(key);
+          }
+        });
   }
 
   bool WaitFor(const std::string& key, const std::string& value,
@@ -114,7 +115,8 @@
 TEST_F(KeyValueClientErrorTest, MissingReplyForABusyPrefixIsAnOutage) {
   this->client->WatchBusyPrefix(
       "k/", [] { return milliseconds(50); },
-      [this](const KeyValuePage& page, bool /*complete*/) {
+      [this](const KeyValuePage& page, bool /*complete*/,
+             TimePoint /*read_at*/) {
         for (const KeyValueItem& item : page.items) {
           this->items[item.key] = item.value;
         }
@@ -128,6 +130,32 @@
   EXPECT_TRUE(this->WaitFor("k/1", "b"));
 }
 
+// Guards against a takeover that waits for the pause between two watches, and
+// against a list that is taken for newer than it is.
+TEST_F(KeyValueClientErrorTest, EndedPauseReadsTheLatestChanges) {
+  TimePoint read_at;
+  this->client->WatchBusyPrefix(
+      "k/", [] { return std::chrono::seconds(30); },
+      [this, &read_at](const KeyValuePage& page, bool /*complete*/,
+                       TimePoint time) {
+        read_at = time;
+        for (const KeyValueItem& item : page.items) {
+          this->items[item.key] = item.value;
+        }
+      });
+  RunFor(&this->loop, milliseconds(50));
+  PutItem(&this->store, "k/1", "a");
+  ASSERT_TRUE(this->WaitFor("k/1", "a"));
+  PutItem(&this->store, "k/1", "b");
+  RunFor(&this->loop, milliseconds(100));
+  ASSERT_EQ(this->items["k/1"], "a");
+  const TimePoint ended_at = this->loop.Now();
+  EXPECT_LT(read_at, ended_at);
+  this->client->EndWatchPause("k/");
+  EXPECT_TRUE(this->WaitFor("k/1", "b"));
+  EXPECT_GE(read_at, ended_at);
+}
+
 TEST_F(KeyValueClientErrorTest, ListsAgainWhenTheRevisionIsCompacted) {
   PutItem(&this->store, "k/1", "a");
   this->WatchPrefix("k/");
--- a/tests/fuzz/task_scheduler_test.cc
+++ b/tests/fuzz/task_scheduler_test.cc
@@ -300,6 +300,7 @@
 
   void RunPass(int s) {
     if (!this->alive[s]) return;
+    SetWorkersListedAt(&this->schedulers[s], this->now);
     RunScheduler(&this->schedulers[s], this->now);
     for (const SchedulerAction& action : TakeActions(&this->schedulers[s])) {
       std::visit([this, s](const auto& a) { this->Perform(s, a); }, action);
