--- a/packages/state/include/sequoiapath/state/job_gateway.h
+++ b/packages/state/include/sequoiapath/state/job_gateway.h
@@ -42,8 +42,6 @@
   std::function<std::string()> leader;
   // Returns the highest known fencing token of any scheduler.
   std::function<FencingToken()> fence;
-  // Returns the ids of all workers in the catalog.
-  std::function<std::shared_ptr<const std::vector<std::string>>()> workers;
   // Submits a job to `leader`. `callback` is called once, possibly before the
   // function returns.
   std::function<void(const std::string& leader, StepJob job,
@@ -85,6 +83,10 @@
   // Precondition: its version is greater than the current one.
   void SetRoutes(RouteTable routes);
 
+  // Sets the ids of all workers in the catalog. Must be called after the
+  // catalog has changed.
+  void SetWorkers(const std::vector<std::string>& ids);
+
   // Returns the current configuration's version; zero before the first one.
   std::uint64_t RoutesVersion() const;
 
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -92,7 +92,6 @@
   EntryCodecs codecs;
   EntryCatalog catalog;
   SchedulerElection election;
-  std::shared_ptr<const std::vector<std::string>> worker_ids;
   std::map<std::string, std::string> daemon_entries;  // Store values, by key.
   std::map<std::string, PeerState> peer_states;       // By VM.
   std::unique_ptr<PeerClient> peers;
@@ -147,8 +146,7 @@
     std::vector<std::string> ids;
     ids.reserve(daemon->catalog.workers.size());
     for (const auto& [id, value] : daemon->catalog.workers) ids.push_back(id);
-    daemon->worker_ids =
-        std::make_shared<const std::vector<std::string>>(std::move(ids));
+    daemon->gateway->SetWorkers(ids);
   }
   UpdateOwnReport(daemon);
 }
@@ -583,7 +581,6 @@
 SchedulerAccess MakeSchedulerAccess(EntryDaemonState* daemon) {
   return {.leader = [daemon] { return daemon->election.leader; },
           .fence = [daemon] { return daemon->election.self.highest_fence; },
-          .workers = [daemon] { return daemon->worker_ids; },
           .submit =
               [daemon](const std::string& leader, StepJob job,
                        const SubmissionCallback& callback) {
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -69,6 +69,7 @@
   CallerCodec codec;
   SchedulerAccess access;
   RouteTable routes;
+  std::shared_ptr<const std::vector<std::string>> workers;
   std::unordered_map<std::string, GatewayJob> jobs;
   std::vector<EarlyRequest> early_requests;
   std::uint64_t next_submission = 1;
@@ -192,7 +193,7 @@
   if (job->former_workers != nullptr) {
     copy.former_workers = *job->former_workers;
   }
-  job->former_workers = gateway->access.workers();
+  job->former_workers = gateway->workers;
   job->job.former_fence =
       std::max(job->job.former_fence, gateway->access.fence());
   copy.age = std::chrono::duration_cast<milliseconds>(now - job->arrived);
@@ -515,6 +516,10 @@
   }
 }
 
+void JobGateway::SetWorkers(const std::vector<std::string>& ids) {
+  this->state->workers = std::make_shared<const std::vector<std::string>>(ids);
+}
+
 std::uint64_t JobGateway::RoutesVersion() const {
   return this->state->routes.version;
 }
--- a/tests/error/job_gateway_test.cc
+++ b/tests/error/job_gateway_test.cc
@@ -35,7 +35,6 @@
     SchedulerAccess access{
         .leader = [this] { return this->leader; },
         .fence = [this] { return this->fence; },
-        .workers = [this] { return this->workers; },
         .submit =
             [this](const std::string& to, StepJob job,
                    const SubmissionCallback& callback) {
@@ -104,8 +103,6 @@
   EventLoop loop;
   std::string leader = "vm-1";
   FencingToken fence = 5;
-  std::shared_ptr<const std::vector<std::string>> workers =
-      std::make_shared<const std::vector<std::string>>(1, "w1");
   std::vector<Submission> submissions;
   std::vector<std::string> cancelled;
   bool answers_cancel_at_once = false;
@@ -152,6 +149,7 @@
 // and the former fencing token, and only its answer is returned.
 TEST_F(JobGatewayErrorTest, SubmitsAgainToASuccessor) {
   this->SetRoutes();
+  this->gateway->SetWorkers({"w1"});
   this->Post(seconds(3));
   ASSERT_TRUE(this->WaitForSubmissions(1));
   this->leader = "vm-2";
@@ -161,7 +159,8 @@
   EXPECT_EQ(this->submissions[1].job.generation, 1U);
   EXPECT_EQ(this->submissions[1].job.former_fence, 5U);
   EXPECT_TRUE(this->submissions[0].job.former_workers.empty());
-  EXPECT_EQ(this->submissions[1].job.former_workers, *this->workers);
+  EXPECT_EQ(this->submissions[1].job.former_workers,
+            std::vector<std::string>{"w1"});
   // The former scheduler may still run the job.
   EXPECT_EQ(this->cancelled, std::vector<std::string>{"vm-1"});
   this->submissions[0].callback(Answered(StepJobOutcome::kFailed));
