--- a/tests/error/job_gateway_test.cc
+++ b/tests/error/job_gateway_test.cc
@@ -171,6 +171,40 @@
   EXPECT_EQ(this->response->body, R"({"state":"completed"})");
 }
 
+// Guards against a second run of a task that a scheduler before the latest one
+// started on a worker whose store entry has lapsed since.
+TEST_F(JobGatewayErrorTest, NamesTheWorkersOfAllFormerSchedulers) {
+  this->SetRoutes();
+  this->gateway->SetWorkers({"w1", "w2"});
+  this->Post(seconds(3));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  this->gateway->SetWorkers({"w2"});
+  this->leader = "vm-2";
+  this->gateway->LeaderChanged();
+  ASSERT_TRUE(this->WaitForSubmissions(2));
+  this->leader = "vm-3";
+  this->gateway->LeaderChanged();
+  ASSERT_TRUE(this->WaitForSubmissions(3));
+  const std::vector<std::string> all{"w1", "w2"};
+  EXPECT_EQ(this->submissions[1].job.former_workers, all);
+  EXPECT_EQ(this->submissions[2].job.former_workers, all);
+}
+
+// Guards against a second run of a task on a worker that registered after the
+// job was submitted, because the former scheduler used it.
+TEST_F(JobGatewayErrorTest, NamesWorkersThatRegisteredAfterTheSubmission) {
+  this->SetRoutes();
+  this->gateway->SetWorkers({"w1"});
+  this->Post(seconds(3));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  this->gateway->SetWorkers({"w1", "w2"});
+  this->leader = "vm-2";
+  this->gateway->LeaderChanged();
+  ASSERT_TRUE(this->WaitForSubmissions(2));
+  EXPECT_EQ(this->submissions[1].job.former_workers,
+            (std::vector<std::string>{"w1", "w2"}));
+}
+
 TEST_F(JobGatewayErrorTest, LeaderChangeResubmitsPendingJobs) {
   this->SetRoutes();
   this->Post(seconds(3));
