Name the workers of all former schedulers in a resubmission

A task ran twice when a partition healed and its job moved between two schedulers several times. A job's daemon named only the workers in its catalog at the latest submission. A worker that registered after the first submission could be missing as well.

The gateway now records when a worker leaves the catalog, and names every worker that it has listed since the job arrived. The successor waits for the reports of all of them, or until all leases have ended.

--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -1,6 +1,7 @@
 #include "sequoiapath/state/job_gateway.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -32,6 +33,8 @@
 // allows for the wait in the queue.
 constexpr int kStopEstimateFactor = 2;
 constexpr milliseconds kStopWaitMargin{300};
+// Marks a worker that is in the catalog.
+constexpr TimePoint kListed = TimePoint::max();
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusMethodNotAllowed = 405;
@@ -49,8 +52,6 @@
   TimePoint expires;
   std::string submitted_to;    // VM; empty: waiting for a scheduler.
   std::string last_scheduler;  // VM of the latest submission.
-  // Ids of the workers in the catalog at the latest submission.
-  std::shared_ptr<const std::vector<std::string>> former_workers;
   // Number of the latest submission. Results of earlier ones are ignored.
   std::uint64_t submission = 0;
   bool was_submitted = false;  // To any scheduler so far.
@@ -69,7 +70,9 @@
   CallerCodec codec;
   SchedulerAccess access;
   RouteTable routes;
-  std::shared_ptr<const std::vector<std::string>> workers;
+  // By worker id: when the worker left the catalog; kListed while it is in the
+  // catalog.
+  std::map<std::string, TimePoint> workers;
   std::unordered_map<std::string, GatewayJob> jobs;
   std::vector<EarlyRequest> early_requests;
   std::uint64_t next_submission = 1;
@@ -174,6 +177,27 @@
   ScheduleRetry(gateway);
 }
 
+// Returns the ids of the workers that schedulers may have used since the job
+// arrived.
+std::vector<std::string> FormerWorkers(const JobGatewayState& gateway,
+                                       const GatewayJob& job) {
+  std::vector<std::string> ids;
+  for (const auto& [id, left_at] : gateway.workers) {
+    if (left_at >= job.arrived) ids.push_back(id);
+  }
+  return ids;
+}
+
+// Forgets the workers that left the catalog before any pending job arrived.
+void ForgetFormerWorkers(JobGatewayState* gateway) {
+  TimePoint oldest = gateway->loop->Now();
+  for (const auto& [id, job] : gateway->jobs) {
+    oldest = std::min(oldest, job.arrived);
+  }
+  std::erase_if(gateway->workers,
+                [&](const auto& entry) { return entry.second < oldest; });
+}
+
 void SubmitTo(JobGatewayState* gateway, GatewayJob* job,
               const std::string& leader) {
   const TimePoint now = gateway->loop->Now();
@@ -190,10 +214,7 @@
   }
   job->last_scheduler = leader;
   StepJob copy = job->job;
-  if (job->former_workers != nullptr) {
-    copy.former_workers = *job->former_workers;
-  }
-  job->former_workers = gateway->workers;
+  if (copy.generation > 0) copy.former_workers = FormerWorkers(*gateway, *job);
   job->job.former_fence =
       std::max(job->job.former_fence, gateway->access.fence());
   copy.age = std::chrono::duration_cast<milliseconds>(now - job->arrived);
@@ -349,7 +370,6 @@
                       .expires = arrived + timeout,
                       .submitted_to = "",
                       .last_scheduler = "",
-                      .former_workers = nullptr,
                       .submission = 0,
                       .was_submitted = false,
                       .submissions = 0};
@@ -517,7 +537,14 @@
 }
 
 void JobGateway::SetWorkers(const std::vector<std::string>& ids) {
-  this->state->workers = std::make_shared<const std::vector<std::string>>(ids);
+  const TimePoint now = this->state->loop->Now();
+  for (auto& [id, left_at] : this->state->workers) {
+    left_at = std::min(left_at, now);
+  }
+  for (const std::string& id : ids) {
+    this->state->workers[id] = internal::kListed;
+  }
+  internal::ForgetFormerWorkers(this->state.get());
 }
 
 std::uint64_t JobGateway::RoutesVersion() const {
