Test that a successor learns of workers that left the catalog recently

The test fails: a worker that left the catalog before the job arrived is missing from the list, although the former scheduler uses a worker for some time after its store entry has lapsed.

--- a/tests/error/job_gateway_test.cc
+++ b/tests/error/job_gateway_test.cc
@@ -205,6 +205,22 @@
             (std::vector<std::string>{"w1", "w2"}));
 }
 
+// Guards against a second run of a task on a worker that left this daemon's
+// catalog before the job arrived, while the former scheduler still used it.
+TEST_F(JobGatewayErrorTest, NamesWorkersThatLeftShortlyBeforeTheJobArrived) {
+  this->SetRoutes();
+  this->gateway->SetWorkers({"w1", "w2"});
+  this->gateway->SetWorkers({"w2"});
+  RunFor(&this->loop, milliseconds(50));
+  this->Post(seconds(3));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  this->leader = "vm-2";
+  this->gateway->LeaderChanged();
+  ASSERT_TRUE(this->WaitForSubmissions(2));
+  EXPECT_EQ(this->submissions[1].job.former_workers,
+            (std::vector<std::string>{"w1", "w2"}));
+}
+
 TEST_F(JobGatewayErrorTest, LeaderChangeResubmitsPendingJobs) {
   this->SetRoutes();
   this->Post(seconds(3));
