Name workers that left the catalog shortly before a job arrived

A task ran twice after a partition healed. The partial scheduler uses a worker for 2.5 s longer, so it placed a new job there at 28.377 s. At 28.478 s the job went to the scheduler of the majority with 32 of 48 workers named. That one had forgotten the worker 2.8 s before, found that all workers had reported, and started the task again at 28.957 s; the first run went on until 29.057 s.

The list of former workers now includes those that left the catalog less than 6 s before the job arrived: 2.5 s in which a scheduler uses an unlisted worker, and up to 3.5 s by which its own catalog may be behind.

--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -33,6 +33,11 @@
 // allows for the wait in the queue.
 constexpr int kStopEstimateFactor = 2;
 constexpr milliseconds kStopWaitMargin{300};
+// How long a worker counts as possibly in use after it left this daemon's
+// catalog. A scheduler uses a worker for 2.5 s after the worker left the
+// scheduler's own catalog, which is up to 3.5 s behind another daemon's while
+// the scheduler cannot read the store.
+constexpr Duration kUseAfterListing = std::chrono::seconds(6);
 // Marks a worker that is in the catalog.
 constexpr TimePoint kListed = TimePoint::max();
 constexpr int kStatusBadRequest = 400;
@@ -183,19 +188,21 @@
                                        const GatewayJob& job) {
   std::vector<std::string> ids;
   for (const auto& [id, left_at] : gateway.workers) {
-    if (left_at >= job.arrived) ids.push_back(id);
+    if (left_at >= job.arrived - kUseAfterListing) ids.push_back(id);
   }
   return ids;
 }
 
-// Forgets the workers that left the catalog before any pending job arrived.
+// Forgets the workers that no scheduler has used since the oldest pending job
+// arrived.
 void ForgetFormerWorkers(JobGatewayState* gateway) {
   TimePoint oldest = gateway->loop->Now();
   for (const auto& [id, job] : gateway->jobs) {
     oldest = std::min(oldest, job.arrived);
   }
-  std::erase_if(gateway->workers,
-                [&](const auto& entry) { return entry.second < oldest; });
+  std::erase_if(gateway->workers, [&](const auto& entry) {
+    return entry.second < oldest - kUseAfterListing;
+  });
 }
 
 void SubmitTo(JobGatewayState* gateway, GatewayJob* job,
