--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -770,6 +770,7 @@
   worker->unanswered_renewals = 0;
   if (worker->claim != ClaimState::kClaimed) {
     worker->claim = ClaimState::kClaimed;
+    worker->claimed_at = now;
     worker->has_accepted_claim = true;
     LogEvent(scheduler, "worker_claimed", worker->description.id, "",
              fmt::format("fence={} running={}", worker->fence,
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <set>
+#include <utility>
 
 #include "sequoiapath/fakes/lease_worker.h"
 
@@ -389,6 +390,32 @@
   EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kCompleted);
 }
 
+// Guards against two runs of a task at a time: a partial scheduler takes a
+// worker back with a raised token just before the job moves to the scheduler
+// that had claimed the worker, whose report is then older than the run.
+TEST(TaskSchedulerTest, TakenBackWorkerRunsNoTaskThatMovesToAnotherScheduler) {
+  constexpr FencingToken kPartialFence = kSchedulerFence + 500;
+  SchedulerHarness harness(2);
+  BeginScheduling(&harness.scheduler, kSchedulerFence + 1000, harness.now);
+  harness.Run(milliseconds(50));
+  TaskScheduler full = std::exchange(harness.scheduler, {});
+  SetExtent(&harness.scheduler, /*partial=*/true, {"w0"});
+  UpdateWorker(&harness.scheduler, Worker(0), harness.now);
+  BeginScheduling(&harness.scheduler, kPartialFence, harness.now);
+  harness.Run(milliseconds(1000));
+  ASSERT_EQ(harness.scheduler.workers.at("w0").claim, ClaimState::kClaimed);
+  StepJob job = Job("j1");
+  harness.Submit(job);
+  ASSERT_EQ(harness.RunningOf("j1"), 1U);
+  harness.scheduler = std::move(full);
+  SetWorkersListedAt(&harness.scheduler, harness.now);
+  job.generation = 1;
+  job.former_fence = kPartialFence;
+  harness.Submit(std::move(job));
+  harness.Run(milliseconds(30));
+  EXPECT_EQ(harness.RunningOf("j1"), 1U);
+}
+
 // Guards against two runs of a task at a time: the store entry of a partitioned
 // worker lapses, so the scheduler on the other side of the partition has
 // removed the worker while it still runs a task of the job.
