Stop the jobs of a daemon that follows another scheduler

Callers' tasks could run twice at the same time: when a daemon heard of a better claim, it submitted its jobs to the next scheduler and sent one cancel per job to the former one, with a timeout of 0.4 s. If that message was lost, the former scheduler kept the jobs for as long as it received the daemon's heartbeats, and started further tasks on workers that had not seen the higher fencing token, while the next scheduler starts the tasks 1.8 s after the submission at the latest.

A daemon now names its scheduler in its heartbeats. A scheduler that hears that the daemon follows another one stops the daemon's jobs and answers them with kMoved, so that a report that was overtaken by a submission costs one further submission and no job. A report without a scheduler changes nothing: the daemon may return within one election. Heartbeats are sent every 0.2 s and a daemon that is silent for 0.6 s is unreachable, so the former scheduler keeps the jobs for no longer than resubmission_wait allows for.

The field is appended. Earlier versions ignore it, and their reports decode without it.

--- a/packages/coordination/src/scheduler_election.cc
+++ b/packages/coordination/src/scheduler_election.cc
@@ -149,6 +149,11 @@
   return highest;
 }
 
+void SetLeader(SchedulerElection* election, const std::string& vm) {
+  election->leader = vm;
+  election->self.scheduler = vm;
+}
+
 void Claim(SchedulerElection* election, TimePoint now,
            std::chrono::milliseconds wall_clock) {
   const FencingToken fence = MakeFencingToken(wall_clock, election->self.vm,
@@ -162,14 +167,14 @@
   election->self.partial = !HasMajority(*election, now);
   election->role =
       election->self.partial ? SchedulerRole::kPartial : SchedulerRole::kFull;
-  election->leader = election->self.vm;
+  SetLeader(election, election->self.vm);
 }
 
 void Follow(SchedulerElection* election, const std::string& vm) {
   election->self.claim = 0;
   election->self.partial = false;
   election->role = SchedulerRole::kFollower;
-  election->leader = vm;
+  SetLeader(election, vm);
 }
 
 void UpdateMajority(SchedulerElection* election, TimePoint now) {
@@ -190,7 +195,7 @@
   election->self.partial = !may_be_full;
   election->role =
       election->self.partial ? SchedulerRole::kPartial : SchedulerRole::kFull;
-  election->leader = election->self.vm;
+  SetLeader(election, election->self.vm);
 }
 
 void RemoveExpiredPeers(SchedulerElection* election, TimePoint now) {
--- a/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
@@ -31,6 +31,9 @@
   FencingToken highest_fence = 0;  // Highest fencing token the daemon knows.
   std::uint64_t config_version = 0;
   std::uint64_t store_revision = 0;  // Store revision of its list of workers.
+  // VM of the scheduler that the daemon follows. Empty: none is known, or the
+  // report comes from a version without this field.
+  std::string scheduler;
 };
 
 // A worker's record as the store holds it.
--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -79,7 +79,8 @@
 SEQUOIAPATH_FIELDS(PeerErrorReply, m.failure)
 SEQUOIAPATH_FIELDS(DaemonReport, m.vm, m.data_centre, m.endpoint, m.incarnation,
                    m.weight, m.eligible, m.claim, m.partial, m.stopping,
-                   m.highest_fence, m.config_version, m.store_revision)
+                   m.highest_fence, m.config_version, m.store_revision,
+                   m.scheduler)
 SEQUOIAPATH_FIELDS(Resources, m.milli_cores, m.memory_mb, m.accelerators)
 SEQUOIAPATH_FIELDS(JobStep, m.count, m.demand, m.estimate, m.after,
                    m.required_label, m.preferred_rack, m.max_per_worker)
@@ -94,6 +95,14 @@
 SEQUOIAPATH_FIELDS(CancelStepJob, m.job)
 #undef SEQUOIAPATH_FIELDS
 
+// Number of leading fields that an encoded struct must have. The other fields
+// keep their default values when an earlier version sends it without them.
+template <typename T>
+constexpr std::size_t kRequiredFields =
+    std::tuple_size_v<decltype(Fields(std::declval<T&>()))>;
+template <>
+constexpr std::size_t kRequiredFields<DaemonReport> = 12;
+
 // Maximum value of each enum that is encoded as a number.
 constexpr int MaxValue(ResourceKind /*kind*/) {
   return static_cast<int>(ResourceKind::kQuota);
@@ -306,11 +315,14 @@
 template <typename T>
 bool UnpackStruct(const msgpack::object& object, T* out) {
   if (object.type != msgpack::type::ARRAY) return false;
+  if (object.via.array.size < kRequiredFields<T>) return false;
   auto fields = Fields(*out);
-  if (object.via.array.size < std::tuple_size_v<decltype(fields)>) return false;
   const msgpack::object* next = object.via.array.ptr;
+  const msgpack::object* const end = next + object.via.array.size;
   const bool read = std::apply(
-      [&next](auto&... field) { return (Unpack(*next++, &field) && ...); },
+      [&next, end](auto&... field) {
+        return ((next == end || Unpack(*next++, &field)) && ...);
+      },
       fields);
   return read && IsValid(*out);
 }
--- a/packages/state/include/sequoiapath/state/scheduler_service.h
+++ b/packages/state/include/sequoiapath/state/scheduler_service.h
@@ -69,6 +69,11 @@
   // their tasks at the same time.
   void CancelJobsOf(std::string_view origin);
 
+  // Stops all jobs of the daemon `origin`, which follows another scheduler, and
+  // answers them with kMoved. A daemon that has returned to this scheduler
+  // since it reported the other one submits them again on this answer.
+  void ReturnJobsOf(std::string_view origin);
+
   // Returns the scheduler's state, for metrics and status.
   const TaskScheduler& scheduler() const;
 
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -266,6 +266,17 @@
 
 // ---- Heartbeats ----
 
+// Stops the jobs of a daemon that follows another scheduler, which starts their
+// tasks. The daemon also cancels each job here, but only once, and that message
+// may be lost.
+void ReturnJobsOfLeavingDaemon(EntryDaemonState* daemon,
+                               const DaemonReport& report) {
+  const bool leaving =
+      !report.scheduler.empty() && report.scheduler != daemon->election.self.vm;
+  if (!leaving) return;
+  daemon->service->ReturnJobsOf(MakeOrigin(report.vm, report.incarnation));
+}
+
 void OnReport(EntryDaemonState* daemon, const DaemonReport& report) {
   if (report.vm == daemon->election.self.vm) return;
   RecordReport(&daemon->election, report, daemon->loop->Now());
@@ -276,6 +287,7 @@
         MakeOrigin(report.vm, peer_state.incarnation));
   }
   peer_state.incarnation = report.incarnation;
+  ReturnJobsOfLeavingDaemon(daemon, report);
   PullCatalog(daemon, report);
 }
 
--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -155,6 +155,25 @@
                      .Build();
 }
 
+// Cancels the jobs that the daemon `origin` submitted. Returns the removed
+// waiters, which have not been answered.
+std::vector<AnswerWaiter> StopJobsOf(SchedulerServiceState* service,
+                                     std::string_view origin) {
+  std::vector<std::string> jobs;
+  for (const auto& [id, waiter] : service->waiters) {
+    if (waiter.origin == origin) jobs.push_back(id);
+  }
+  std::vector<AnswerWaiter> removed;
+  for (const std::string& job : jobs) {
+    removed.push_back(std::move(service->waiters.extract(job).mapped()));
+    CancelJob(&service->scheduler, job, service->loop->Now());
+  }
+  if (jobs.empty()) return removed;
+  ExecuteActions(service);
+  ScheduleSchedulerRun(service);
+  return removed;
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -230,19 +249,21 @@
 }
 
 void SchedulerService::CancelJobsOf(std::string_view origin) {
-  std::vector<std::string> jobs;
-  for (const auto& [id, waiter] : this->state->waiters) {
-    if (waiter.origin == origin) jobs.push_back(id);
-  }
-  if (jobs.empty()) return;
+  const auto waiters = internal::StopJobsOf(this->state.get(), origin);
+  if (waiters.empty()) return;
   Log(LogLevel::kWarning, "jobs_of_lost_daemon_stopped",
-      {{"vm", origin}, {"jobs", jobs.size()}});
-  for (const std::string& job : jobs) {
-    this->state->waiters.erase(job);
-    CancelJob(&this->state->scheduler, job, this->state->loop->Now());
+      {{"vm", origin}, {"jobs", waiters.size()}});
+}
+
+void SchedulerService::ReturnJobsOf(std::string_view origin) {
+  const auto waiters = internal::StopJobsOf(this->state.get(), origin);
+  if (waiters.empty()) return;
+  Log(LogLevel::kWarning, "jobs_of_leaving_daemon_stopped",
+      {{"vm", origin}, {"jobs", waiters.size()}});
+  for (const internal::AnswerWaiter& waiter : waiters) {
+    waiter.callback({StepJobOutcome::kMoved, "daemon_follows_other_scheduler",
+                     std::chrono::milliseconds(0)});
   }
-  internal::ExecuteActions(this->state.get());
-  internal::ScheduleSchedulerRun(this->state.get());
 }
 
 const TaskScheduler& SchedulerService::scheduler() const {
--- a/tests/correctness/scheduler_election_test.cc
+++ b/tests/correctness/scheduler_election_test.cc
@@ -84,6 +84,7 @@
   for (const auto& daemon : group.daemons) {
     EXPECT_EQ(daemon.leader, group.daemons[0].leader);
     EXPECT_FALSE(daemon.leader.empty());
+    EXPECT_EQ(daemon.self.scheduler, daemon.leader);
   }
 }
 
--- a/tests/fuzz/peer_message_test.cc
+++ b/tests/fuzz/peer_message_test.cc
@@ -116,6 +116,28 @@
   EXPECT_FALSE(results[1].failure.has_value());
 }
 
+// Guards against daemons that ignore each other during an update: the previous
+// version sends its reports without the scheduler.
+TEST(PeerMessageFuzz, ReportWithoutTheAppendedFieldDecodes) {
+  DaemonReport report;
+  report.vm = "vm-1";
+  report.endpoint = {"127.0.0.1", 7000};
+  report.incarnation = 7;
+  report.store_revision = 300;
+  std::string bytes = EncodePeerMessage(report);
+  ASSERT_EQ(bytes.front(), '\x9d');  // An array of 13 elements.
+  ASSERT_EQ(bytes.back(), '\xa0');   // An empty string.
+  bytes.front() = '\x9c';
+  bytes.pop_back();
+  const auto decoded = DecodePeerMessage<DaemonReport>(bytes);
+  ASSERT_EQ(GetFailure(decoded), nullptr) << GetFailure(decoded)->detail;
+  EXPECT_EQ(std::get<DaemonReport>(decoded).store_revision, 300U);
+  EXPECT_EQ(std::get<DaemonReport>(decoded).scheduler, "");
+
+  bytes.front() = '\x9b';
+  EXPECT_NE(GetFailure(DecodePeerMessage<DaemonReport>(bytes)), nullptr);
+}
+
 // Decodes `bytes` as every type and ignores the results. The decoder must
 // neither throw nor read out of bounds.
 void DecodeAsEveryType(std::string_view bytes) {
