Repeat unanswered cancels and limit them to their submission

A daemon cancels a job at its scheduler when it answers the caller with 504 or submits the job to another scheduler. The cancel was sent once; if the connection was reset or silent, the scheduler went on starting the job's tasks until the deadline, while the caller sends the job again 1.3 s later through any daemon, whose scheduler starts the tasks as those of a new job.

The cancel is now repeated every 50 ms until it is answered, for 2 s. It is not repeated once the job has returned to that scheduler.

A cancel also ended the job if another daemon had submitted it since, so that a caller that had already sent its job again got a 504. The daemon now names itself in the cancel, as it does in submissions, and the scheduler ignores a cancel of a submission that another daemon's has replaced. The cancel for a DELETE, which may reach any daemon, names none and ends the job as before.

Evidence: UnansweredCancelIsRepeated and LateCancelKeepsTheJobOfAnotherDaemon fail without the repetition and without the check of the origin.

--- a/packages/state/include/sequoiapath/state/job_gateway.h
+++ b/packages/state/include/sequoiapath/state/job_gateway.h
@@ -47,8 +47,12 @@
   std::function<void(const std::string& leader, StepJob job,
                      SubmissionCallback callback)>
       submit;
-  // Cancels a job at `leader`.
+  // Cancels this daemon's submission of a job at `leader`. Has no effect on a
+  // job that another daemon has submitted there since.
   std::function<void(const std::string& leader, const std::string& job)> cancel;
+  // Cancels a job at `leader`, whichever daemon submitted it.
+  std::function<void(const std::string& leader, const std::string& job)>
+      cancel_of_any_daemon;
 };
 
 // Totals since the gateway was created.
@@ -99,6 +103,11 @@
   // continues a job that it already has.
   void ResubmitAll();
 
+  // Returns whether the job has no answer yet and its latest submission went to
+  // `scheduler`.
+  bool IsSubmittedTo(const std::string& job,
+                     const std::string& scheduler) const;
+
   // From now on refuses new jobs that may still run when the process ends,
   // which is at `stop`.
   void BeginStop(TimePoint stop);
--- a/packages/state/include/sequoiapath/state/scheduler_service.h
+++ b/packages/state/include/sequoiapath/state/scheduler_service.h
@@ -64,6 +64,12 @@
   // Cancels a job and stops its tasks. Returns false if the job is unknown.
   bool Cancel(const std::string& job);
 
+  // Cancels a job if the daemon `origin` was the last to submit it. After a
+  // broken connection, the caller may already have sent the job through another
+  // daemon. Returns false if the job is unknown or was submitted by another
+  // daemon.
+  bool CancelSubmission(const std::string& job, std::string_view origin);
+
   // Cancels all jobs of the daemon `origin`, which has ended or is unreachable.
   // The daemon submits them to another scheduler, and this one must not run
   // their tasks at the same time.
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -36,6 +36,10 @@
 // Added to a job's remaining time as the timeout of its submission, so that the
 // reply can arrive.
 constexpr milliseconds kSubmissionTimeoutMargin{300};
+constexpr Duration kCancelRetryDelay = milliseconds(50);
+// A scheduler that receives nothing from this daemon for a shorter time cancels
+// all of the daemon's jobs.
+constexpr Duration kCancelRetryTime = milliseconds(2000);
 constexpr milliseconds kCatalogTimeout{800};
 // Prefix of the daemons' entries in the store. A VM's name follows.
 constexpr std::string_view kDaemonPrefix = "sequoiapath/daemon/";
@@ -569,25 +573,52 @@
       });
 }
 
-void CancelAtLeader(EntryDaemonState* daemon, const std::string& leader,
-                    const std::string& job) {
-  if (leader == daemon->election.self.vm) {
-    daemon->service->Cancel(job);
-    return;
-  }
-  const Endpoint* endpoint = EndpointOf(*daemon, leader);
+// A cancel of a job at another daemon.
+struct RemoteCancel {
+  std::string scheduler;
+  std::string job;
+  bool of_any_daemon = false;  // Else only of this daemon's submission.
+  TimePoint last_attempt;      // No attempt begins after this time.
+};
+
+// Sends the cancel until the scheduler has answered it, because a scheduler
+// that has missed it would go on starting the job's tasks.
+void SendCancel(EntryDaemonState* daemon, const RemoteCancel& cancel) {
+  const Endpoint* endpoint = EndpointOf(*daemon, cancel.scheduler);
   if (endpoint == nullptr) return;
   PeerCall call{.path = kCancelPath,
                 .headers = {},
-                .body = EncodePeerMessage(CancelStepJob{job})};
-  daemon->peers->Call(*endpoint, std::move(call), kHeartbeatTimeout,
-                      [job, leader](const HttpResult& result) {
-                        if (std::holds_alternative<HttpResponse>(result)) {
-                          return;
-                        }
-                        Log(LogLevel::kWarning, "cancel_unanswered",
-                            {{"id", job}, {"scheduler", leader}});
-                      });
+                .body = EncodePeerMessage(CancelStepJob{cancel.job})};
+  if (!cancel.of_any_daemon) {
+    call.headers.push_back({kOriginHeader, OwnOrigin(*daemon)});
+  }
+  daemon->peers->Call(
+      *endpoint, std::move(call), kHeartbeatTimeout,
+      [daemon, cancel](const HttpResult& result) {
+        if (std::holds_alternative<HttpResponse>(result)) return;
+        Log(LogLevel::kWarning, "cancel_unanswered",
+            {{"id", cancel.job}, {"scheduler", cancel.scheduler}});
+        daemon->loop->Schedule(kCancelRetryDelay, [daemon, cancel] {
+          if (daemon->loop->Now() > cancel.last_attempt) return;
+          // The job has returned to this scheduler.
+          if (daemon->gateway->IsSubmittedTo(cancel.job, cancel.scheduler)) {
+            return;
+          }
+          SendCancel(daemon, cancel);
+        });
+      });
+}
+
+void CancelAtLeader(EntryDaemonState* daemon, const std::string& leader,
+                    const std::string& job, bool of_any_daemon) {
+  if (leader != daemon->election.self.vm) {
+    SendCancel(daemon, {leader, job, of_any_daemon,
+                        daemon->loop->Now() + kCancelRetryTime});
+  } else if (of_any_daemon) {
+    daemon->service->Cancel(job);
+  } else {
+    daemon->service->CancelSubmission(job, OwnOrigin(*daemon));
+  }
 }
 
 SchedulerAccess MakeSchedulerAccess(EntryDaemonState* daemon) {
@@ -600,7 +631,11 @@
               },
           .cancel =
               [daemon](const std::string& leader, const std::string& job) {
-                CancelAtLeader(daemon, leader, job);
+                CancelAtLeader(daemon, leader, job, false);
+              },
+          .cancel_of_any_daemon =
+              [daemon](const std::string& leader, const std::string& job) {
+                CancelAtLeader(daemon, leader, job, true);
               }};
 }
 
@@ -654,7 +689,11 @@
     RespondStatus(responder, kStatusBadRequest);
     return;
   }
-  daemon->service->Cancel(decoded->job);
+  if (const auto origin = FindHeader(request.headers, kOriginHeader)) {
+    daemon->service->CancelSubmission(decoded->job, *origin);
+  } else {
+    daemon->service->Cancel(decoded->job);
+  }
   responder.Respond(MakeOkResponse(""));
 }
 
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -442,7 +442,7 @@
   if (found == gateway->jobs.end()) {
     // Another daemon may have accepted the job.
     const std::string leader = gateway->access.leader();
-    if (!leader.empty()) gateway->access.cancel(leader, id);
+    if (!leader.empty()) gateway->access.cancel_of_any_daemon(leader, id);
     RespondText(responder, kStatusGone, "this daemon has no job with this id");
     return;
   }
@@ -565,6 +565,13 @@
   internal::SubmitWaiting(this->state.get());
 }
 
+bool JobGateway::IsSubmittedTo(const std::string& job,
+                               const std::string& scheduler) const {
+  const auto found = this->state->jobs.find(job);
+  return found != this->state->jobs.end() &&
+         found->second.submitted_to == scheduler;
+}
+
 void JobGateway::BeginStop(TimePoint stop) {
   this->state->stop_deadline = stop;
 }
--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -248,6 +248,15 @@
   return known;
 }
 
+bool SchedulerService::CancelSubmission(const std::string& job,
+                                        std::string_view origin) {
+  const auto waiter = this->state->waiters.find(job);
+  if (waiter != this->state->waiters.end() && waiter->second.origin != origin) {
+    return false;
+  }
+  return this->Cancel(job);
+}
+
 void SchedulerService::CancelJobsOf(std::string_view origin) {
   const auto waiters = internal::StopJobsOf(this->state.get(), origin);
   if (waiters.empty()) return;
--- a/tests/error/entry_daemon_test.cc
+++ b/tests/error/entry_daemon_test.cc
@@ -1,15 +1,17 @@
-// Guards against tasks that run under two schedulers: a scheduler that keeps
-// the jobs of a daemon that has left it, after the daemon's cancel was lost.
+// Guards against tasks that run under two schedulers after the cancel of a job
+// was lost, and against jobs that end because a cancel arrives late.
 
 #include "sequoiapath/state/entry_daemon.h"
 
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <vector>
 
 #include "loop_testing.h"
 #include "sequoiapath/platform/adapter.h"
 #include "sequoiapath/protocol/peer_message.h"
+#include "sequoiapath/transport/http_client.h"
 #include "sequoiapath/transport/peer_client.h"
 
 namespace sequoiapath {
@@ -21,19 +23,25 @@
 constexpr const char* kSchedulerVm = "vm-1";
 constexpr const char* kPeerVm = "vm-2";
 constexpr const char* kPeerOrigin = "vm-2/7";
+constexpr const char* kOtherOrigin = "vm-3/9";
+constexpr const char* kJob = "5c0e7a21d94b36f8";
+constexpr const char* kJobBody =
+    R"({"spec":"text","bestEffort":true,"steps":[{"count":1,"estMs":100}]})";
+constexpr const char* kConfiguration =
+    R"({"version":3,"routes":[{"name":"r-1","host":"desk.example",)"
+    R"("prefix":"/check/","timeoutMs":5000,"sloMs":60,"priority":1,)"
+    R"("service":"desk","attempts":3,"stretch":1.6}],)"
+    R"("limits":{"maxBodyBytes":10000}})";
 constexpr std::uint64_t kPeerIncarnation = 7;
 
-// A scheduling daemon without a store, and a peer daemon of which only the
-// messages exist.
+// A daemon without a store, and a peer daemon of which only the messages exist.
 class EntryDaemonErrorTest : public testing::Test {
  protected:
   void SetUp() override {
     this->peer_server = StartServer(
         &this->loop,
-        [this](const HttpRequest& /*request*/, const HttpResponder& responder) {
-          responder.Respond({.status = 200,
-                             .headers = {},
-                             .body = EncodePeerMessage(this->peer_report)});
+        [this](const HttpRequest& request, const HttpResponder& responder) {
+          this->HandleAtPeer(request, responder);
         });
     this->peer_report.vm = kPeerVm;
     this->peer_report.incarnation = kPeerIncarnation;
@@ -50,6 +58,7 @@
     settings.store = FreeEndpoint(&this->loop);
     settings.core_share = 250;
     this->daemon_endpoint = settings.peer_listen;
+    this->caller_endpoint = settings.caller_listen;
     auto built = EntryDaemonBuilder(
                      &this->loop, settings,
                      {platform::MakeCallerCodec(), platform::MakeWorkerCodec(),
@@ -67,6 +76,30 @@
         ->endpoint();
   }
 
+  void HandleAtPeer(const HttpRequest& request,
+                    const HttpResponder& responder) {
+    if (request.path == "/scheduler/report") {
+      Respond(responder, EncodePeerMessage(this->peer_report));
+    } else if (request.path == "/scheduler/catalog") {
+      CatalogSnapshot snapshot;
+      snapshot.revision = this->peer_report.store_revision;
+      snapshot.config_version = this->peer_report.config_version;
+      snapshot.config = kConfiguration;
+      Respond(responder, EncodePeerMessage(snapshot));
+    } else if (request.path == "/scheduler/submit") {
+      this->submissions.push_back(responder);
+    } else if (request.path == "/scheduler/cancel") {
+      this->cancels.push_back(
+          std::string(FindHeader(request.headers, "x-origin").value_or("")));
+      // The reply to the first cancel is lost.
+      if (this->cancels.size() > 1) Respond(responder, "");
+    }
+  }
+
+  static void Respond(const HttpResponder& responder, std::string body) {
+    responder.Respond({.status = 200, .headers = {}, .body = std::move(body)});
+  }
+
   void SendReport() {
     this->client->Call(
         this->daemon_endpoint,
@@ -93,9 +126,9 @@
 
   // Submits a job of the peer daemon. A later generation is not subject to
   // admission, so that the job waits although no worker is known.
-  void Submit() {
+  void Submit(const std::string& origin = kPeerOrigin) {
     StepJob job;
-    job.id = "5c0e7a21d94b36f8";
+    job.id = kJob;
     job.service = "desk";
     job.max_attempts = 1;
     job.remaining = seconds(8);
@@ -107,7 +140,7 @@
     this->client->Call(
         this->daemon_endpoint,
         {.path = "/scheduler/submit",
-         .headers = {{"x-origin", kPeerOrigin}},
+         .headers = {{"x-origin", origin}},
          .body = EncodePeerMessage(job)},
         seconds(9), [this](const HttpResult& result) {
           const auto* response = std::get_if<HttpResponse>(&result);
@@ -119,12 +152,55 @@
         });
   }
 
+  void Cancel(HttpHeaders headers) {
+    this->client->Call(
+        this->daemon_endpoint,
+        {.path = "/scheduler/cancel",
+         .headers = std::move(headers),
+         .body = EncodePeerMessage(CancelStepJob{kJob})},
+        seconds(1), [](const HttpResult& result) {
+          EXPECT_TRUE(std::holds_alternative<HttpResponse>(result));
+        });
+  }
+
+  // Makes the peer the scheduler, from which the daemon also copies the
+  // configuration.
+  void MakePeerTheScheduler() {
+    this->peer_report.eligible = true;
+    this->peer_report.weight = 1000;
+    this->peer_report.claim = FencingToken{1} << 50;
+    this->peer_report.highest_fence = this->peer_report.claim;
+    this->peer_report.scheduler = kPeerVm;
+    this->peer_report.config_version = 3;
+    this->peer_report.store_revision = 3;
+    this->SendReport();
+    RunFor(&this->loop, milliseconds(300));
+  }
+
+  // Sends a job as a caller.
+  void PostJob(milliseconds deadline) {
+    this->caller =
+        HttpClientBuilder(&this->loop, this->caller_endpoint).Build();
+    HttpRequest request;
+    request.method = "POST";
+    request.path = std::string("/check/") + kJob;
+    request.headers = {{"host", "desk.example"},
+                       {"x-deadline-ms", std::to_string(deadline.count())}};
+    request.body = kJobBody;
+    this->caller->Send(std::move(request), seconds(5),
+                       [](const HttpResult&) {});
+  }
+
   EventLoop loop;
   DaemonReport peer_report;
+  std::vector<HttpResponder> submissions;  // Received by the peer.
+  std::vector<std::string> cancels;        // Their origins.
   std::unique_ptr<HttpServer> peer_server;
   Endpoint daemon_endpoint;
+  Endpoint caller_endpoint;
   std::unique_ptr<EntryDaemon> daemon;
   std::unique_ptr<PeerClient> client;
+  std::unique_ptr<HttpClient> caller;
   bool daemon_schedules = false;
   std::optional<StepJobAnswer> answer;
 };
@@ -157,5 +233,36 @@
   EXPECT_FALSE(this->answer);
 }
 
+// Guards against two runs of a task at a time: the cancel of an expired job is
+// lost. After the 504, the caller sends the job through another daemon, whose
+// scheduler may start the tasks again.
+TEST_F(EntryDaemonErrorTest, UnansweredCancelIsRepeated) {
+  this->MakePeerTheScheduler();
+  this->PostJob(milliseconds(300));
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return !this->submissions.empty(); }, seconds(2)));
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return this->cancels.size() == 2; }, seconds(2)));
+  EXPECT_TRUE(this->cancels[0].starts_with("vm-1/"));
+  EXPECT_EQ(this->cancels[1], this->cancels[0]);
+  RunFor(&this->loop, milliseconds(600));
+  EXPECT_EQ(this->cancels.size(), 2U);
+}
+
+// Guards against the end of a job that its caller has sent through another
+// daemon, when the cancel of the first daemon arrives late.
+TEST_F(EntryDaemonErrorTest, LateCancelKeepsTheJobOfAnotherDaemon) {
+  ASSERT_TRUE(this->WaitUntilDaemonSchedules());
+  this->Submit(kOtherOrigin);
+  RunFor(&this->loop, milliseconds(100));
+  this->Cancel({{"x-origin", kPeerOrigin}});
+  RunFor(&this->loop, milliseconds(200));
+  EXPECT_FALSE(this->answer);
+  this->Cancel({});
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return this->answer.has_value(); }, seconds(1)));
+  EXPECT_EQ(this->answer->outcome, StepJobOutcome::kCancelled);
+}
+
 }  // namespace
 }  // namespace sequoiapath
--- a/tests/error/job_gateway_test.cc
+++ b/tests/error/job_gateway_test.cc
@@ -46,6 +46,10 @@
               if (!this->answers_cancel_at_once) return;
               this->submissions.back().callback(
                   Answered(StepJobOutcome::kCancelled));
+            },
+        .cancel_of_any_daemon =
+            [this](const std::string& to, const std::string& /*job*/) {
+              this->cancelled_of_any_daemon.push_back(to);
             }};
     this->gateway = JobGatewayBuilder(&this->loop, platform::MakeCallerCodec(),
                                       std::move(access))
@@ -105,6 +109,7 @@
   FencingToken fence = 5;
   std::vector<Submission> submissions;
   std::vector<std::string> cancelled;
+  std::vector<std::string> cancelled_of_any_daemon;
   bool answers_cancel_at_once = false;
   std::unique_ptr<JobGateway> gateway;
   std::unique_ptr<HttpServer> server;
