Keep the scheduler after a closed connection

A daemon took a closed connection to the scheduler for the end of its process: it forgot the scheduler's claim and claimed beside it. Daemons that heard the new claim followed it, so that one reset connection moved all jobs to another scheduler while the former one still started tasks.

After a closed connection the daemon now sends a heartbeat over a new one. If the process has ended, that connection is refused within a round trip, and the scheduler is replaced as before. A heartbeat whose repetition is closed as well still counts as the end of the process.

Evidence: ClosedConnectionDoesNotReplaceTheScheduler fails on the former entry_daemon.cc; RefusedConnectionReplacesTheScheduler passes with both.

--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -115,6 +115,8 @@
 
 namespace {
 
+void SendHeartbeat(EntryDaemonState* daemon, const std::string& vm,
+                   const Endpoint& endpoint);
 void SendHeartbeats(EntryDaemonState* daemon);
 void RunElectionNow(EntryDaemonState* daemon);
 
@@ -295,6 +297,15 @@
   PullCatalog(daemon, report);
 }
 
+// Sends a heartbeat over a new connection, after the connection in use was
+// closed. The network may have reset it; if the process has ended, the new
+// connection is refused within one round trip.
+void RepeatHeartbeat(EntryDaemonState* daemon, const std::string& vm) {
+  const auto peer = daemon->election.peers.find(vm);
+  if (peer == daemon->election.peers.end()) return;
+  SendHeartbeat(daemon, vm, peer->second.report.endpoint);
+}
+
 // `incarnation` is that of the daemon on `vm` when the heartbeat was sent to
 // it.
 void OnHeartbeatReply(EntryDaemonState* daemon, const std::string& vm,
@@ -304,11 +315,14 @@
   const auto* response = std::get_if<HttpResponse>(&result);
   if (response == nullptr || response->status != kStatusOk) {
     ++daemon->counts.heartbeats_failed;
+    const bool first_failure = !std::exchange(peer_state.suspect, true);
     const auto* error = std::get_if<HttpError>(&result);
-    if (error != nullptr && error->kind != HttpErrorKind::kTimeout) {
+    if (error != nullptr && error->kind == HttpErrorKind::kClosed &&
+        first_failure) {
+      RepeatHeartbeat(daemon, vm);
+    } else if (error != nullptr && error->kind != HttpErrorKind::kTimeout) {
       RecordDaemonFailure(&daemon->election, vm, incarnation);
     }
-    peer_state.suspect = true;
     RunElectionNow(daemon);
     return;
   }
@@ -559,14 +573,16 @@
       *endpoint, std::move(call), timeout,
       [daemon, leader, incarnation, callback](const HttpResult& result) {
         const auto* error = std::get_if<HttpError>(&result);
-        const bool process_ended =
-            error != nullptr && (error->kind == HttpErrorKind::kClosed ||
-                                 error->kind == HttpErrorKind::kConnectFailed);
-        if (process_ended) {
+        const bool refused =
+            error != nullptr && error->kind == HttpErrorKind::kConnectFailed;
+        const bool closed =
+            error != nullptr && error->kind == HttpErrorKind::kClosed;
+        if (refused) {
           RecordDaemonFailure(&daemon->election, leader, incarnation);
         }
         callback(ReadSubmissionResult(result));
-        if (process_ended) {
+        if (refused || closed) {
+          // The heartbeat tells whether the scheduler's process has ended.
           SendHeartbeats(daemon);
           RunElectionNow(daemon);
         }
--- a/tests/error/entry_daemon_test.cc
+++ b/tests/error/entry_daemon_test.cc
@@ -1,9 +1,13 @@
 // Guards against tasks that run under two schedulers after the cancel of a job
-// was lost, and against jobs that end because a cancel arrives late.
+// was lost or after a connection between daemons was reset, and against jobs
+// that end because a cancel arrives late.
 
 #include "sequoiapath/state/entry_daemon.h"
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <optional>
 #include <vector>
@@ -20,7 +24,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr const char* kSchedulerVm = "vm-1";
+constexpr const char* kDaemonVm = "vm-1";
 constexpr const char* kPeerVm = "vm-2";
 constexpr const char* kPeerOrigin = "vm-2/7";
 constexpr const char* kOtherOrigin = "vm-3/9";
@@ -33,6 +37,7 @@
     R"("service":"desk","attempts":3,"stretch":1.6}],)"
     R"("limits":{"maxBodyBytes":10000}})";
 constexpr std::uint64_t kPeerIncarnation = 7;
+constexpr std::uint32_t kWeight = 250;
 
 // A daemon without a store, and a peer daemon of which only the messages exist.
 class EntryDaemonErrorTest : public testing::Test {
@@ -46,34 +51,49 @@
     this->peer_report.vm = kPeerVm;
     this->peer_report.incarnation = kPeerIncarnation;
     this->peer_report.endpoint = this->peer_server->endpoint();
-    this->peer_report.scheduler = kSchedulerVm;
+    this->peer_report.scheduler = kDaemonVm;
 
-    EntrySettings settings;
-    settings.vm = kSchedulerVm;
-    settings.data_centre = "heredia";
-    settings.caller_listen = FreeEndpoint(&this->loop);
-    settings.ready_listen = FreeEndpoint(&this->loop);
-    settings.peer_listen = FreeEndpoint(&this->loop);
-    settings.metrics_listen = FreeEndpoint(&this->loop);
-    settings.store = FreeEndpoint(&this->loop);
-    settings.core_share = 250;
-    this->daemon_endpoint = settings.peer_listen;
-    this->caller_endpoint = settings.caller_listen;
-    auto built = EntryDaemonBuilder(
-                     &this->loop, settings,
-                     {platform::MakeCallerCodec(), platform::MakeWorkerCodec(),
-                      platform::MakeKeyValueCodec()})
-                     .Build();
-    ASSERT_FALSE(std::holds_alternative<std::string>(built))
-        << std::get<std::string>(built);
-    this->daemon = std::get<std::unique_ptr<EntryDaemon>>(std::move(built));
+    this->StartDaemon();
     this->client = PeerClientBuilder(&this->loop).Build();
   }
 
-  // Returns an endpoint on which nothing listens.
-  static Endpoint FreeEndpoint(EventLoop* loop) {
-    return StartServer(loop, [](const HttpRequest&, const HttpResponder&) {})
-        ->endpoint();
+  // Starts the daemon on ports that were free just before. Another process may
+  // take one of them in between, so it tries again with other ports.
+  void StartDaemon() {
+    constexpr int kAttempts = 10;
+    for (int i = 0; i < kAttempts && this->daemon == nullptr; ++i) {
+      const EntrySettings settings = MakeSettings(&this->loop);
+      this->daemon_endpoint = settings.peer_listen;
+      this->caller_endpoint = settings.caller_listen;
+      auto built = EntryDaemonBuilder(&this->loop, settings,
+                                      {platform::MakeCallerCodec(),
+                                       platform::MakeWorkerCodec(),
+                                       platform::MakeKeyValueCodec()})
+                       .Build();
+      if (std::holds_alternative<std::string>(built)) continue;
+      this->daemon = std::get<std::unique_ptr<EntryDaemon>>(std::move(built));
+    }
+    ASSERT_NE(this->daemon, nullptr);
+  }
+
+  // Returns settings whose endpoints differ and on which nothing listens.
+  static EntrySettings MakeSettings(EventLoop* loop) {
+    std::vector<std::unique_ptr<HttpServer>> servers;
+    const auto free_endpoint = [&] {
+      servers.push_back(
+          StartServer(loop, [](const HttpRequest&, const HttpResponder&) {}));
+      return servers.back()->endpoint();
+    };
+    EntrySettings settings;
+    settings.vm = kDaemonVm;
+    settings.data_centre = "heredia";
+    settings.caller_listen = free_endpoint();
+    settings.ready_listen = free_endpoint();
+    settings.peer_listen = free_endpoint();
+    settings.metrics_listen = free_endpoint();
+    settings.store = free_endpoint();
+    settings.core_share = kWeight;
+    return settings;
   }
 
   void HandleAtPeer(const HttpRequest& request,
@@ -100,18 +120,21 @@
     responder.Respond({.status = 200, .headers = {}, .body = std::move(body)});
   }
 
-  void SendReport() {
+  void SendReport() { this->SendReport(this->peer_report); }
+
+  void SendReport(const DaemonReport& report) {
     this->client->Call(
         this->daemon_endpoint,
         {.path = "/scheduler/report",
          .headers = {},
-         .body = EncodePeerMessage(this->peer_report)},
+         .body = EncodePeerMessage(report)},
         milliseconds(400), [this](const HttpResult& result) {
           const auto* response = std::get_if<HttpResponse>(&result);
           if (response == nullptr) return;
           auto report = DecodePeerMessage<DaemonReport>(response->body);
           const auto* decoded = std::get_if<DaemonReport>(&report);
-          if (decoded != nullptr) this->daemon_schedules = decoded->claim != 0;
+          if (decoded == nullptr) return;
+          this->daemon_schedules = decoded->claim != 0;
         });
   }
 
@@ -167,7 +190,7 @@
   // configuration.
   void MakePeerTheScheduler() {
     this->peer_report.eligible = true;
-    this->peer_report.weight = 1000;
+    this->peer_report.weight = kWeight;
     this->peer_report.claim = FencingToken{1} << 50;
     this->peer_report.highest_fence = this->peer_report.claim;
     this->peer_report.scheduler = kPeerVm;
@@ -177,6 +200,23 @@
     RunFor(&this->loop, milliseconds(300));
   }
 
+  // Closes the connections from the daemon to the peer, as a reset on the
+  // network does. Both run in this process.
+  void CloseConnectionsToPeer() {
+    constexpr int kDescriptors = 1024;
+    for (int fd = 0; fd < kDescriptors; ++fd) {
+      sockaddr_in address{};
+      socklen_t length = sizeof(address);
+      auto* generic = reinterpret_cast<sockaddr*>(&address);
+      if (getpeername(fd, generic, &length) != 0) continue;
+      if (address.sin_family != AF_INET ||
+          ntohs(address.sin_port) != this->peer_report.endpoint.port) {
+        continue;
+      }
+      shutdown(fd, SHUT_RDWR);
+    }
+  }
+
   // Sends a job as a caller.
   void PostJob(milliseconds deadline) {
     this->caller =
@@ -201,7 +241,7 @@
   std::unique_ptr<EntryDaemon> daemon;
   std::unique_ptr<PeerClient> client;
   std::unique_ptr<HttpClient> caller;
-  bool daemon_schedules = false;
+  bool daemon_schedules = false;  // According to its latest report.
   std::optional<StepJobAnswer> answer;
 };
 
@@ -233,6 +273,43 @@
   EXPECT_FALSE(this->answer);
 }
 
+// Guards against a daemon that takes a closed connection for the end of the
+// scheduler's process and claims beside it. The jobs of both schedulers move to
+// and fro, and a task may run under each.
+TEST_F(EntryDaemonErrorTest, ClosedConnectionDoesNotReplaceTheScheduler) {
+  this->MakePeerTheScheduler();
+  RunFor(&this->loop, seconds(1));  // The daemon may claim from now on.
+  // Together with a third daemon, this one would be a majority.
+  DaemonReport third = this->peer_report;
+  third.vm = "vm-3";
+  third.claim = 0;
+  third.eligible = false;
+  this->PostJob(seconds(4));
+  for (std::size_t i = 0; i < 10; ++i) {
+    ASSERT_TRUE(RunUntil(
+        &this->loop, [&] { return this->submissions.size() > i; }, seconds(1)));
+    this->CloseConnectionsToPeer();
+    this->SendReport(third);
+    RunFor(&this->loop, milliseconds(50));
+    ASSERT_FALSE(this->daemon_schedules) << "after " << i + 1 << " closes";
+  }
+}
+
+// Guards against a slow takeover after the scheduler's process was killed: the
+// daemon does not wait until the scheduler counts as silent.
+TEST_F(EntryDaemonErrorTest, RefusedConnectionReplacesTheScheduler) {
+  this->MakePeerTheScheduler();
+  RunFor(&this->loop, seconds(1));  // The daemon may claim from now on.
+  this->peer_server->StopAccepting();
+  this->CloseConnectionsToPeer();
+  RunFor(&this->loop, milliseconds(300));
+  this->peer_report.claim = 0;
+  this->peer_report.incarnation = kPeerIncarnation + 1;
+  this->SendReport();
+  RunFor(&this->loop, milliseconds(50));
+  EXPECT_TRUE(this->daemon_schedules);
+}
+
 // Guards against two runs of a task at a time: the cancel of an expired job is
 // lost. After the 504, the caller sends the job through another daemon, whose
 // scheduler may start the tasks again.
