--- a/tests/fuzz/task_scheduler_test.cc
+++ b/tests/fuzz/task_scheduler_test.cc
@@ -49,6 +49,9 @@
 constexpr int kLongestFollowerReadMs = 300;
 // A daemon gives up a cancel that is not answered within this time.
 constexpr milliseconds kCancelTimeout{400};
+// How long a partial scheduler may take to hear of the other one after the end
+// of a partition: heartbeats that are in flight time out after 0.4 s.
+constexpr int kLongestYieldMs = 700;
 // How long a caller waits before it sends a job again.
 constexpr int kShortestCallerDelayMs = 1300;
 constexpr int kLongestCallerDelayMs = 2500;
@@ -596,9 +599,9 @@
     this->isolated_scheduler = former;
     if (this->kinds.any()) {
       this->IsolateDaemons();
-      this->CutOffFromStore(former, length);
+      this->CutOffIsolatedVmsFromStore(length);
       this->MoveJobsOfConnectedDaemons(former);
-      this->After(length + this->Between(0, 400),
+      this->After(length + this->Between(0, kLongestYieldMs),
                   [this, former] { this->EndIsolatedScheduler(former); });
       return;
     }
@@ -725,13 +728,17 @@
   // ---- The store ----
 
   // Cuts a VM off from the store, so that it no longer learns of changes.
-  void CutOffFromStore(int vm, milliseconds length) {
-    if (!this->kinds.lapsing_entries) return;
+  void CutOffVmFromStore(int vm, milliseconds length) {
     TimePoint& until = this->cut_off_from_store_until[vm];
     until = std::max(until, this->now + length);
+  }
+
+  // Cuts the isolated scheduler and its daemons off from the store.
+  void CutOffIsolatedVmsFromStore(milliseconds length) {
+    if (!this->kinds.lapsing_entries) return;
+    this->CutOffVmFromStore(this->isolated_scheduler, length);
     for (const int daemon : this->isolated_daemons) {
-      this->cut_off_from_store_until[daemon] =
-          std::max(this->cut_off_from_store_until[daemon], until);
+      this->CutOffVmFromStore(daemon, length);
     }
   }
 
@@ -749,6 +756,15 @@
     });
   }
 
+  // The store is unavailable, and some entries expire meanwhile.
+  void StopStore() {
+    const milliseconds length = this->Between(500, 5000);
+    for (int vm = 0; vm < kVms; ++vm) this->CutOffVmFromStore(vm, length);
+    for (const auto& [w, draining] : std::map<int, bool>(this->entries)) {
+      if (this->Pick(3) == 0) this->CutOffWorkerFromStore(w, length);
+    }
+  }
+
   void EraseEntry(int w, const char* event) {
     this->Trace(fmt::format("w{}", w), fmt::format("entry {}", event));
     this->entries.erase(w);
@@ -850,8 +866,7 @@
     if (!this->ReadsEntries()) return;
     this->schedulers[vm] = TaskScheduler{};
     this->known_entries[vm].clear();
-    TimePoint& until = this->cut_off_from_store_until[vm];
-    until = std::max(until, this->now + this->Between(300, 900));
+    this->CutOffVmFromStore(vm, this->Between(300, 900));
   }
 
   bool ReadsEntries() const {
@@ -1026,6 +1041,7 @@
       this->Repeat(1000, 5000, [this] {
         this->CutOffWorker(this->Pick(this->WorkerCount()));
       });
+      this->Repeat(4000, 9000, [this] { this->StopStore(); });
     }
     if (this->kinds.caller_retries) {
       this->Repeat(500, 2000, [this] { this->LoseDaemon(); });
