--- a/tests/fuzz/task_scheduler_test.cc
+++ b/tests/fuzz/task_scheduler_test.cc
@@ -34,6 +34,11 @@
 constexpr int kGateways = 4;
 constexpr int kVms = kSchedulers + kGateways;
 constexpr milliseconds kJobInterval{100};
+constexpr int kMostTasks = 4;
+// With this load jobs do not queue, so that a task starts a second time as soon
+// as the scheduler allows it.
+constexpr milliseconds kJobIntervalOfLightLoad{200};
+constexpr int kMostTasksOfLightLoad = 2;
 constexpr milliseconds kLoadTime{20'000};
 constexpr milliseconds kSimulationTime{40'000};
 // A scheduler detects within this time that it can no longer reach a daemon.
@@ -45,6 +50,9 @@
 constexpr milliseconds kFollowerReadPause{800};
 constexpr milliseconds kTakeoverReadPause{20};
 constexpr milliseconds kReadRetryDelay{20};
+// As in JobGateway: how long a worker counts as possibly in use after its entry
+// is gone.
+constexpr milliseconds kUseAfterListing{6000};
 constexpr int kLongestSchedulerReadMs = 100;
 constexpr int kLongestFollowerReadMs = 300;
 // A daemon gives up a cancel that is not answered within this time.
@@ -107,8 +115,7 @@
   int daemon = 0;  // VM of the daemon that accepted the job.
   TimePoint expires;
   int caller_retries = 0;
-  // Workers that the daemon knew at the latest submission.
-  std::vector<std::string> former_workers;
+  TimePoint arrived;  // At that daemon.
   int scheduler = 0;
   std::uint64_t submission = 0;
   bool answered = false;
@@ -128,6 +135,7 @@
     this->read_in_flight.assign(kVms, false);
     this->paused_until.assign(kSchedulers, kStart);
     this->clock_lags.assign(kSchedulers, Duration::zero());
+    this->light_load = kinds.any() && this->Pick(2) == 0;
     for (int s = 0; s < kSchedulers; ++s) {
       this->alive.push_back(true);
       this->schedulers.push_back(this->NewScheduler());
@@ -137,7 +145,7 @@
   void Run() {
     this->TakeOver(0);
     for (TimePoint at = kStart + milliseconds(200); at < kStart + kLoadTime;
-         at += kJobInterval) {
+         at += this->light_load ? kJobIntervalOfLightLoad : kJobInterval) {
       this->At(at, [this] { this->SubmitNew(); });
     }
     this->At(kStart, [this] { this->Tick(); });
@@ -443,7 +451,8 @@
     job.job.stretch = 2;
     job.job.remaining = milliseconds(15'000);
     JobStep step;
-    step.count = static_cast<std::uint32_t>(1 + this->Pick(4));
+    step.count = static_cast<std::uint32_t>(
+        1 + this->Pick(this->light_load ? kMostTasksOfLightLoad : kMostTasks));
     step.demand = {4000 + this->Pick(5000), 64, 0};
     step.estimate = milliseconds(200);
     job.job.steps = {step};
@@ -451,6 +460,7 @@
     if (this->kinds.caller_retries && this->Pick(3) == 0) {
       job.job.remaining = this->Between(800, 3000);
     }
+    job.arrived = this->now;
     job.expires = this->now + job.job.remaining;
     const std::string id = job.job.id;
     SimulatedJob* added = &this->jobs.emplace(id, std::move(job)).first->second;
@@ -466,21 +476,25 @@
     return isolated ? this->isolated_scheduler : this->current;
   }
 
-  std::vector<std::string> KnownWorkers(int vm) {
+  // Returns the workers that schedulers may have used since the job arrived, as
+  // JobGateway determines them.
+  std::vector<std::string> FormerWorkers(const SimulatedJob& job) {
     std::vector<std::string> ids;
-    for (const auto& [w, draining] : this->known_entries[vm]) {
+    for (const auto& [w, draining] : this->known_entries[job.daemon]) {
+      ids.push_back(fmt::format("w{}", w));
+    }
+    for (const auto& [w, left_at] : this->left_entries[job.daemon]) {
+      if (left_at < job.arrived - kUseAfterListing) continue;
       ids.push_back(fmt::format("w{}", w));
     }
     return ids;
   }
 
-  // Returns the copy of the job that its daemon submits, as the daemon's
-  // gateway makes it.
+  // Returns the copy of the job that its daemon submits.
   StepJob MakeSubmission(SimulatedJob* job) {
     StepJob copy = job->job;
     if (this->kinds.any()) {
-      copy.former_workers =
-          std::exchange(job->former_workers, this->KnownWorkers(job->daemon));
+      if (copy.generation > 0) copy.former_workers = this->FormerWorkers(*job);
       copy.remaining = std::max(
           milliseconds(0),
           std::chrono::duration_cast<milliseconds>(job->expires - this->now));
@@ -841,6 +855,10 @@
                     TimePoint read_at) {
     const std::map<int, bool> known =
         std::exchange(this->known_entries[vm], read);
+    for (const auto& [w, draining] : known) {
+      if (!read.contains(w)) this->left_entries[vm][w] = this->now;
+    }
+    for (const auto& [w, draining] : read) this->left_entries[vm].erase(w);
     if (vm >= kSchedulers) return;
     TaskScheduler* scheduler = &this->schedulers[vm];
     for (const auto& [w, draining] : read) {
@@ -927,7 +945,7 @@
                           (former + 1 + this->Pick(kGateways - 1)) % kGateways;
           again->job.generation = 0;
           again->job.former_fence = 0;
-          again->former_workers.clear();
+          again->arrived = this->now;
           again->expires = this->now + again->job.remaining;
           this->Trace(id, fmt::format("the caller sends it again to daemon {}",
                                       again->daemon));
@@ -1058,6 +1076,7 @@
 
   std::mt19937 random;
   FaultKinds kinds;
+  bool light_load = false;
   Faults faults;
   TimePoint now = kStart;
   std::priority_queue<Event> events;
@@ -1080,7 +1099,9 @@
   FencingToken isolated_fence = 0;  // The highest token that they know.
   // By worker that has an entry in the store: whether it is draining.
   std::map<int, bool> entries;
-  std::vector<std::map<int, bool>> known_entries;   // By VM.
+  std::vector<std::map<int, bool>> known_entries;  // By VM.
+  // By VM and worker: when it learned that the worker's entry is gone.
+  std::map<int, std::map<int, TimePoint>> left_entries;
   std::vector<TimePoint> cut_off_from_store_until;  // By VM.
   std::vector<std::uint64_t> latest_reads;  // By VM: counts the planned reads.
   std::vector<bool> read_in_flight;         // By VM.
