Do not repeat a cancel that reached no scheduler

Cause: an unanswered cancel is repeated every 50 ms for 2 s. If the scheduler's process has ended, each attempt is refused at once, so each of its jobs would cost 40 connections and as many log lines, which displace others in the limited log (by reading). Change: a cancel is not repeated if no connection could be made. The process has then ended, or the scheduler stops all jobs of the daemon after 0.6 s.

--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -611,9 +611,13 @@
   daemon->peers->Call(
       *endpoint, std::move(call), kHeartbeatTimeout,
       [daemon, cancel](const HttpResult& result) {
-        if (std::holds_alternative<HttpResponse>(result)) return;
+        const auto* error = std::get_if<HttpError>(&result);
+        if (error == nullptr) return;
         Log(LogLevel::kWarning, "cancel_unanswered",
             {{"id", cancel.job}, {"scheduler", cancel.scheduler}});
+        // Either the scheduler's process has ended, or the scheduler cannot be
+        // reached and stops all jobs of this daemon.
+        if (error->kind == HttpErrorKind::kConnectFailed) return;
         daemon->loop->Schedule(kCancelRetryDelay, [daemon, cancel] {
           if (daemon->loop->Now() > cancel.last_attempt) return;
           // The job has returned to this scheduler.
