Leave one scheduler when two claims have the same token

Two daemons that claim in the same millisecond get the same fencing token if the 11 bits of their hashes in it collide (1 in 2048 for each pair). Neither claim took precedence then: both daemons scheduled on all workers for as long as they ran, no worker rejected either, and each stopped the other's runs as orphans after it had started its own tasks on the same capacity.

The VM's name now decides between equal claims. The test fails without it.

--- a/packages/coordination/src/scheduler_election.cc
+++ b/packages/coordination/src/scheduler_election.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -69,10 +70,11 @@
 // Returns the key by which claims are compared; the greatest takes precedence.
 // A full scheduler precedes a partial one. Next, greater weight decides,
 // because such a daemon is more likely to have enough CPU time to serve every
-// worker. Last, the higher fencing token decides.
-std::tuple<bool, std::uint32_t, FencingToken> ClaimRank(
+// worker. Next, the higher fencing token decides. Last, the VM decides, because
+// daemons that claim in the same millisecond may have equal tokens.
+std::tuple<bool, std::uint32_t, FencingToken, std::string_view> ClaimRank(
     const DaemonReport& report) {
-  return {!report.partial, report.weight, report.claim};
+  return {!report.partial, report.weight, report.claim, report.vm};
 }
 
 // Returns the report of the live peer whose claim takes precedence; null if no
--- a/tests/correctness/scheduler_election_test.cc
+++ b/tests/correctness/scheduler_election_test.cc
@@ -88,6 +88,22 @@
   }
 }
 
+// Guards against two schedulers that use every worker for as long as both run:
+// daemons that claim in the same millisecond have equal fencing tokens if the
+// hashes in the tokens collide, and no worker rejects either of them.
+TEST(SchedulerElectionTest, EqualTokensLeaveOneScheduler) {
+  ElectionGroup group(3);
+  group.Run(seconds(2));
+  ASSERT_NE(group.daemons[0].self.claim, 0U);
+  group.daemons[1].self.claim = group.daemons[0].self.claim;
+  group.daemons[1].role = SchedulerRole::kFull;
+  group.daemons[1].leader = ElectionGroup::Name(1);
+  group.Run(seconds(1));
+  EXPECT_EQ(group.Schedulers(), 1);
+  EXPECT_EQ(group.daemons[0].leader, group.daemons[1].leader);
+  EXPECT_EQ(group.daemons[0].leader, group.daemons[2].leader);
+}
+
 // Guards against a delayed restart of the service after all daemons have lost
 // power: they elect a scheduler once each has received every other's report.
 TEST(SchedulerElectionTest, DaemonsThatStartTogetherElectAtOnce) {
