Log each submission of a job to another scheduler

Cause: the logs did not show when a job changed its scheduler while its former one gave no answer, nor how many workers its daemon named. Change: job_resubmitted gives both schedulers, the generation, the former token and the number of workers, one line a resubmission.

--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -219,9 +219,19 @@
     // The former scheduler may be reachable and still run tasks of the job.
     gateway->access.cancel(job->last_scheduler, job->job.id);
   }
-  job->last_scheduler = leader;
+  const std::string former = std::exchange(job->last_scheduler, leader);
   StepJob copy = job->job;
-  if (copy.generation > 0) copy.former_workers = FormerWorkers(*gateway, *job);
+  if (copy.generation > 0) {
+    copy.former_workers = FormerWorkers(*gateway, *job);
+    Log(LogLevel::kInfo, "job_resubmitted",
+        {{"id", copy.id},
+         {"scheduler", leader},
+         {"former", former},
+         {"generation", copy.generation},
+         {"former_fence", copy.former_fence},
+         {"former_workers", copy.former_workers.size()},
+         {"ms", Milliseconds(now - job->arrived)}});
+  }
   job->job.former_fence =
       std::max(job->job.former_fence, gateway->access.fence());
   copy.age = std::chrono::duration_cast<milliseconds>(now - job->arrived);
