Test five cases in which belief about former schedulers is older than it looks

A scheduler in its reclaim_at_once_until period takes a worker back without waiting for short_foreign_retry_delay, on which RejectsFormerSchedulers relies. ReturnedJobWaitsForTheRunsOfTheOtherScheduler: SubmitJob keeps a job that it still has, so its tasks start without regard to the other scheduler's runs. WorkerThatLeftLongAgoDelaysNoResubmittedJob: a follower never forgets unlisted workers, so after a takeover each of them counts as not claimed and all resubmitted jobs wait 1.8 s. ConnectionClosedAfterATimeoutKeepsTheScheduler: a closed connection after an unanswered heartbeat still replaces a live scheduler. NewerWorkersAreCopiedFromTheOtherDaemon: responses with 503 count as responses, so the daemon does not copy another daemon's newer list of workers.

--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -416,6 +416,73 @@
   EXPECT_EQ(harness.RunningOf("j1"), 1U);
 }
 
+// Guards against two runs of a task at a time: a scheduler that may reclaim
+// workers at once takes a worker back within `short_foreign_retry_delay` after
+// the successor's claim, so the successor's report is older than the run.
+TEST(TaskSchedulerTest, WorkerReclaimedAtOnceRunsNoTaskThatMoves) {
+  constexpr FencingToken kFormerFence = kSchedulerFence + 500;
+  SchedulerHarness harness(2);
+  BeginScheduling(&harness.scheduler, kSchedulerFence + 1000, harness.now);
+  harness.Run(milliseconds(30));
+  TaskScheduler successor = std::exchange(harness.scheduler, {});
+  UpdateWorker(&harness.scheduler, Worker(0), harness.now);
+  BeginScheduling(&harness.scheduler, kFormerFence, harness.now);
+  RetryForeignWorkers(&harness.scheduler, kFormerFence, Duration::zero(),
+                      harness.now);
+  harness.Run(milliseconds(100));
+  ASSERT_EQ(harness.scheduler.workers.at("w0").claim, ClaimState::kClaimed);
+  StepJob job = Job("j1");
+  harness.Submit(job);
+  ASSERT_EQ(harness.RunningOf("j1"), 1U);
+  harness.scheduler = std::move(successor);
+  SetWorkersListedAt(&harness.scheduler, harness.now);
+  job.generation = 1;
+  job.former_fence = kFormerFence;
+  harness.Submit(std::move(job));
+  harness.Run(milliseconds(30));
+  EXPECT_EQ(harness.RunningOf("j1"), 1U);
+}
+
+// Guards against two runs of a task at a time: a job leaves a scheduler, its
+// cancel is lost, and the job returns from a scheduler with a higher token. The
+// first scheduler still has the job and must not start its tasks before the
+// runs of the other one are known.
+TEST(TaskSchedulerTest, ReturnedJobWaitsForTheRunsOfTheOtherScheduler) {
+  SchedulerHarness harness(1);
+  harness.Submit(Job("j0", 1, 16'000));
+  harness.Submit(Job("j1"));
+  ASSERT_EQ(harness.RunningOf("j0"), 1U);
+  ASSERT_EQ(harness.RunningOf("j1"), 0U);
+  StepJob again = Job("j1");
+  again.generation = 2;
+  again.former_fence = kSchedulerFence + 500;
+  again.former_workers = {"w0", "w-of-the-other-scheduler"};
+  again.remaining = milliseconds(5000);
+  harness.Submit(std::move(again));
+  harness.Run(milliseconds(1000));
+  EXPECT_TRUE(harness.AnswerOf("j0"));
+  EXPECT_EQ(harness.RunningOf("j1"), 0U);
+  EXPECT_FALSE(harness.AnswerOf("j1"));
+}
+
+// Guards against slow takeovers: a worker that left the store long before this
+// daemon began to schedule is no reason to wait until all leases have ended.
+TEST(TaskSchedulerTest, WorkerThatLeftLongAgoDelaysNoResubmittedJob) {
+  SchedulerHarness harness(2);
+  EndScheduling(&harness.scheduler);
+  UpdateWorker(&harness.scheduler, Worker(2), harness.now);
+  UnlistWorker(&harness.scheduler, "w2", harness.now);
+  harness.Run(std::chrono::minutes(1));
+  BeginScheduling(&harness.scheduler, kSchedulerFence + 1, harness.now);
+  StepJob job = Job("j1");
+  job.generation = 1;
+  job.former_fence = kSchedulerFence;
+  job.former_workers = {"w0", "w1"};
+  harness.Submit(std::move(job));
+  harness.Run(milliseconds(100));
+  EXPECT_EQ(harness.RunningOf("j1"), 1U);
+}
+
 // Guards against two runs of a task at a time: the store entry of a partitioned
 // worker lapses, so the scheduler on the other side of the partition has
 // removed the worker while it still runs a task of the job.
--- a/tests/error/entry_daemon_test.cc
+++ b/tests/error/entry_daemon_test.cc
@@ -62,7 +62,8 @@
   void StartDaemon() {
     constexpr int kAttempts = 10;
     for (int i = 0; i < kAttempts && this->daemon == nullptr; ++i) {
-      const EntrySettings settings = MakeSettings(&this->loop);
+      EntrySettings settings = MakeSettings(&this->loop);
+      if (this->store != nullptr) settings.store = this->store->endpoint();
       this->daemon_endpoint = settings.peer_listen;
       this->caller_endpoint = settings.caller_listen;
       auto built = EntryDaemonBuilder(&this->loop, settings,
@@ -99,8 +100,13 @@
   void HandleAtPeer(const HttpRequest& request,
                     const HttpResponder& responder) {
     if (request.path == "/scheduler/report") {
+      if (!this->replies_to_reports) {
+        this->unanswered_reports.push_back(responder);
+        return;
+      }
       Respond(responder, EncodePeerMessage(this->peer_report));
     } else if (request.path == "/scheduler/catalog") {
+      ++this->catalog_requests;
       CatalogSnapshot snapshot;
       snapshot.revision = this->peer_report.store_revision;
       snapshot.config_version = this->peer_report.config_version;
@@ -234,8 +240,12 @@
   EventLoop loop;
   DaemonReport peer_report;
   std::vector<HttpResponder> submissions;  // Received by the peer.
-  std::vector<std::string> cancels;        // Their origins.
+  bool replies_to_reports = true;          // Of the peer.
+  std::vector<HttpResponder> unanswered_reports;
+  std::vector<std::string> cancels;  // Their origins.
+  int catalog_requests = 0;          // Received by the peer.
   std::unique_ptr<HttpServer> peer_server;
+  std::unique_ptr<HttpServer> store;  // Null: nothing listens there.
   Endpoint daemon_endpoint;
   Endpoint caller_endpoint;
   std::unique_ptr<EntryDaemon> daemon;
@@ -295,6 +305,61 @@
   }
 }
 
+class RejectingStoreTest : public EntryDaemonErrorTest {
+ protected:
+  RejectingStoreTest() {
+    this->store = StartServer(
+        &this->loop, [](const HttpRequest&, const HttpResponder& responder) {
+          responder.Respond({.status = 503, .headers = {}, .body = ""});
+        });
+  }
+};
+
+// Guards against an outdated list of workers: the store answers this daemon
+// with 503 and serves the others, whose newer list must be copied.
+TEST_F(RejectingStoreTest, NewerWorkersAreCopiedFromTheOtherDaemon) {
+  this->MakePeerTheScheduler();
+  const auto report_for = [this](int rounds) {
+    for (int i = 0; i < rounds; ++i) {
+      this->SendReport();
+      RunFor(&this->loop, milliseconds(50));
+    }
+  };
+  report_for(4);
+  ASSERT_EQ(this->catalog_requests, 1);
+  ++this->peer_report.store_revision;
+  report_for(80);
+  EXPECT_EQ(this->catalog_requests, 2);
+}
+
+// Guards against a daemon that claims beside a live scheduler: its connection
+// to the scheduler falls silent in a partition and is reset after the partition
+// has healed, while the scheduler's own reports arrive.
+TEST_F(EntryDaemonErrorTest, ConnectionClosedAfterATimeoutKeepsTheScheduler) {
+  this->MakePeerTheScheduler();
+  RunFor(&this->loop, seconds(1));  // The daemon may claim from now on.
+  // Together with a third daemon, this one would be a majority.
+  DaemonReport third = this->peer_report;
+  third.vm = "vm-3";
+  third.claim = 0;
+  third.eligible = false;
+  third.endpoint = this->daemon_endpoint;  // Its connections stay open.
+  const auto run_with_reports = [&](int rounds) {
+    for (int i = 0; i < rounds; ++i) {
+      this->SendReport();
+      this->SendReport(third);
+      RunFor(&this->loop, milliseconds(50));
+    }
+  };
+  this->replies_to_reports = false;
+  run_with_reports(14);
+  ASSERT_FALSE(this->daemon_schedules);
+  this->replies_to_reports = true;
+  this->CloseConnectionsToPeer();
+  run_with_reports(4);
+  EXPECT_FALSE(this->daemon_schedules);
+}
+
 // Guards against a slow takeover after the scheduler's process was killed: the
 // daemon does not wait until the scheduler counts as silent.
 TEST_F(EntryDaemonErrorTest, RefusedConnectionReplacesTheScheduler) {
