Count only reports that were requested after a job was submitted

Callers would see: a task runs twice when its job moves to a scheduler that has just lost a worker. Cause: the former rule relied on a rejected scheduler waiting 0.7 s before it raises its token. It does not wait in the period in which it reclaims workers at once, nor after a second rejection (found by the review). Change: a report counts only if its renewal was sent after the submission. So that jobs do not wait for a renewal whose reply the worker delays by up to 0.3 s, such a renewal is replaced by one that is answered at once, at most every 50 ms a worker and only while resubmitted jobs wait. Test: WorkerReclaimedAtOnceRunsNoTaskThatMoves found 2 runs before, 1 expected. Result: it passes, and so does TakenBackWorkerRunsNoTaskThatMovesToAnotherScheduler.

--- a/packages/coordination/include/sequoiapath/coordination/worker_runs.h
+++ b/packages/coordination/include/sequoiapath/coordination/worker_runs.h
@@ -62,7 +62,6 @@
 struct WorkerRuns {
   WorkerDescription description;
   ClaimState claim = ClaimState::kUnclaimed;
-  TimePoint claimed_at;  // Start of state kClaimed.
   // The worker has accepted a renewal since this daemon began to schedule or
   // since RetryForeignWorkers last reset this member.
   bool has_accepted_claim = false;
--- a/packages/coordination/src/former_runs.cc
+++ b/packages/coordination/src/former_runs.cc
@@ -20,34 +20,22 @@
   const char* reason = "";
 };
 
-// Returns whether the worker rejects all orders of the schedulers that had the
-// job before. A scheduler whose token is rejected raises it after
-// `short_foreign_retry_delay` and may then use the worker again, which this
-// scheduler notices only with its next renewal.
-bool RejectsFormerSchedulers(const TaskScheduler& scheduler,
-                             const WorkerRuns& worker, const ScheduledJob& job,
-                             TimePoint now) {
-  return worker.fence > job.job.former_fence &&
-         now - worker.claimed_at < scheduler.times.short_foreign_retry_delay;
-}
-
 // Returns why the worker may have runs of the job that former schedulers
 // started and that it has not reported; null if it has reported all of them.
-const char* MissingReportReason(const TaskScheduler& scheduler,
-                                const WorkerRuns& worker,
-                                const ScheduledJob& job, TimePoint now) {
+// Only a report that was requested after the submission counts: a scheduler
+// whose token a worker rejects may raise the token and use the worker again,
+// which this scheduler notices with its next renewal.
+const char* MissingReportReason(const WorkerRuns& worker,
+                                const ScheduledJob& job) {
   if (worker.claim != ClaimState::kClaimed) return "not_claimed";
   if (worker.unanswered_renewals > 0) return "unreachable";
-  if (worker.report_sent_at >= job.submitted) return nullptr;
-  return RejectsFormerSchedulers(scheduler, worker, job, now) ? nullptr
-                                                              : "old_report";
+  return worker.report_sent_at >= job.submitted ? nullptr : "old_report";
 }
 
 // Returns the first report that is missing to know all runs of the job that
 // former schedulers started; nothing if all of them are known.
 std::optional<MissingReport> FindMissingReport(const TaskScheduler& scheduler,
-                                               const ScheduledJob& job,
-                                               TimePoint now) {
+                                               const ScheduledJob& job) {
   // A former scheduler may have used a worker that has registered only lately.
   if (scheduler.workers_listed_at < job.submitted) {
     return MissingReport{"", "old_worker_list"};
@@ -59,7 +47,7 @@
     if (!scheduler.workers.contains(id)) return MissingReport{id, "unknown"};
   }
   for (const auto& [id, worker] : scheduler.workers) {
-    const char* reason = MissingReportReason(scheduler, worker, job, now);
+    const char* reason = MissingReportReason(worker, job);
     if (reason != nullptr) return MissingReport{id, reason};
   }
   return std::nullopt;
@@ -87,7 +75,7 @@
   if (!leases_ended && now < job->next_report_check) return false;
   job->next_report_check = now + kReportCheckInterval;
   const std::optional<MissingReport> missing =
-      FindMissingReport(*scheduler, *job, now);
+      FindMissingReport(*scheduler, *job);
   if (missing && !leases_ended) return false;
   LogEndOfWait(scheduler, *job, missing, now);
   job->former_runs_known = true;
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -22,6 +22,9 @@
 // orders of earlier submissions, whose run numbers are lower.
 constexpr std::uint32_t kRunsPerGeneration = 1000;
 constexpr Duration kSweepInterval = milliseconds(10);
+// Shortest time between two renewals of a worker while resubmitted jobs wait
+// for its report.
+constexpr Duration kReportRequestInterval = milliseconds(50);
 constexpr Duration kCleanupInterval = milliseconds(100);
 constexpr milliseconds kLongestFenceStep{3'600'000};
 // How long a worker gets no new task after it rejected a start order for lack
@@ -354,6 +357,25 @@
          scheduler.home_workers.contains(worker.description.id);
 }
 
+// Returns whether resubmitted jobs wait for a report of the worker that is
+// newer than its latest one.
+bool ReportIsAwaited(const TaskScheduler& scheduler, const WorkerRuns& worker,
+                     TimePoint now) {
+  return worker.report_sent_at < scheduler.last_resubmission &&
+         now < scheduler.last_resubmission + scheduler.times.resubmission_wait;
+}
+
+// Returns whether the renewal in flight, whose reply may be delayed until a run
+// ends, should be replaced by one that is answered at once.
+bool ShouldReplaceRenewal(const TaskScheduler& scheduler,
+                          const WorkerRuns& worker, TimePoint now) {
+  return worker.claim == ClaimState::kClaimed &&
+         worker.unanswered_renewals == 0 &&
+         worker.renewal_sent_at < scheduler.last_resubmission &&
+         now - worker.renewal_sent_at >= kReportRequestInterval &&
+         ReportIsAwaited(scheduler, worker, now);
+}
+
 void SendRenewalOrder(TaskScheduler* scheduler, WorkerRuns* worker,
                       TimePoint now) {
   RenewOrder order;
@@ -374,6 +396,7 @@
       worker->claim == ClaimState::kClaimed && worker->unanswered_renewals == 0;
   if (claimed_and_reachable) order.wait = scheduler->times.renewal_wait;
   if (worker->orphans > 0) order.wait = scheduler->times.orphan_renewal_wait;
+  if (ReportIsAwaited(*scheduler, *worker, now)) order.wait = milliseconds(0);
   order.worker = worker->description.id;
   order.id = ++scheduler->next_renewal_id;
   worker->renewal_id = order.id;
@@ -438,7 +461,11 @@
   StopOrphans(scheduler, worker, now);
   StopOverdueRuns(scheduler, worker, now);
   SendStopOrders(scheduler, worker);
-  if (worker->renewal_in_flight || now < worker->next_renewal) return;
+  if (worker->renewal_in_flight &&
+      !ShouldReplaceRenewal(*scheduler, *worker, now)) {
+    return;
+  }
+  if (now < worker->next_renewal) return;
   if (NeedsRenewal(*scheduler, *worker)) {
     SendRenewalOrder(scheduler, worker, now);
   }
@@ -770,7 +797,6 @@
   worker->unanswered_renewals = 0;
   if (worker->claim != ClaimState::kClaimed) {
     worker->claim = ClaimState::kClaimed;
-    worker->claimed_at = now;
     worker->has_accepted_claim = true;
     LogEvent(scheduler, "worker_claimed", worker->description.id, "",
              fmt::format("fence={} running={}", worker->fence,
