Await the other scheduler's runs when a job returns

Callers would see: a task runs twice when its job leaves a scheduler for another one and returns, and the first cancel was lost. Cause: a further submission of a job that the scheduler still had was ignored, so the runs of the scheduler in between were unknown and nobody waited for them. Change: a submission with a higher generation marks the former runs as unknown again and applies its token, workers and run numbers. Test: ReturnedJobWaitsForTheRunsOfTheOtherScheduler failed before (the job had run and was answered) and passes.

--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -531,6 +531,16 @@
   }
 }
 
+// Marks the runs that other schedulers may have started as unknown.
+void AwaitFormerRuns(TaskScheduler* scheduler, ScheduledJob* job,
+                     TimePoint now) {
+  job->any_started = true;
+  job->submitted = now;
+  job->former_runs_known = false;
+  job->former_leases_end = now + scheduler->times.resubmission_wait;
+  scheduler->last_resubmission = now;
+}
+
 ScheduledJob* InsertJob(TaskScheduler* scheduler, StepJob job, TimePoint now) {
   ScheduledJob scheduled;
   scheduled.arrived = now - job.age;
@@ -541,11 +551,8 @@
   scheduled.key = {Lateness::kInTime, job.priority, scheduled.objective,
                    scheduler->next_sequence++};
   scheduled.last_run = job.generation * kRunsPerGeneration;
-  scheduled.any_started = job.generation > 0;
   scheduled.submitted = now;
-  scheduled.former_runs_known = job.generation == 0;
-  if (job.generation > 0) scheduler->last_resubmission = now;
-  scheduled.former_leases_end = now + scheduler->times.resubmission_wait;
+  if (job.generation > 0) AwaitFormerRuns(scheduler, &scheduled, now);
   scheduled.job = std::move(job);
   InitializeSteps(&scheduled);
   const std::string id = scheduled.job.id;
@@ -555,6 +562,19 @@
   return inserted;
 }
 
+// Applies a further submission of a job that this scheduler already has. If its
+// generation is higher, another scheduler may have had the job in between.
+void ResumeJob(TaskScheduler* scheduler, ScheduledJob* job,
+               const StepJob& again, TimePoint now) {
+  if (again.generation <= job->job.generation) return;
+  job->job.generation = again.generation;
+  job->job.former_fence = again.former_fence;
+  job->job.former_workers = again.former_workers;
+  job->last_run =
+      std::max(job->last_run, again.generation * kRunsPerGeneration);
+  AwaitFormerRuns(scheduler, job, now);
+}
+
 // Returns the refusal of a new job, or nothing if the job is admitted.
 std::optional<StepJobAnswer> CheckAdmission(const TaskScheduler& scheduler,
                                             const StepJob& job, TimePoint now) {
@@ -934,7 +954,11 @@
       return;
     }
   }
-  if (scheduler->jobs.contains(id)) return;
+  ScheduledJob* known = internal::FindJob(scheduler, id);
+  if (known != nullptr) {
+    internal::ResumeJob(scheduler, known, job, now);
+    return;
+  }
   ++scheduler->counts.jobs;
   if (job.generation == 0) {
     auto refusal = internal::CheckAdmission(*scheduler, job, now);
