Forget workers that left long before a daemon began to schedule

Callers saw: after a takeover resubmitted jobs waited 1.8 s although all workers had reported. Cause: a daemon that does not schedule never removed workers that had left the store. When it began to schedule, each of them counted as not claimed. Change: workers that left more than 6 s ago are removed first. For 6 s another scheduler may still use them, so those that left later are waited for as before. Test: WorkerThatLeftLongAgoDelaysNoResubmittedJob found 0 runs after 100 ms, 1 expected, and passes.

--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -26,6 +26,9 @@
 // for its report.
 constexpr Duration kReportRequestInterval = milliseconds(50);
 constexpr Duration kCleanupInterval = milliseconds(100);
+// How long schedulers may use a worker after it has left this daemon's list.
+// JobGateway names such workers for the same time.
+constexpr Duration kUseAfterListing = std::chrono::seconds(6);
 constexpr milliseconds kLongestFenceStep{3'600'000};
 // How long a worker gets no new task after it rejected a start order for lack
 // of capacity or because the order's lease had expired.
@@ -488,6 +491,17 @@
   if (erased > 0) RebuildWorkerList(scheduler);
 }
 
+// Removes the workers that left the store so long ago that no scheduler still
+// uses them. RemoveUnlistedWorkers does not run on a daemon that does not
+// schedule.
+void RemoveDepartedWorkers(TaskScheduler* scheduler, TimePoint now) {
+  std::erase_if(scheduler->workers, [&](const auto& entry) {
+    const WorkerRuns& worker = entry.second;
+    return !worker.listed && worker.runs.empty() &&
+           now - worker.unlisted_at > kUseAfterListing;
+  });
+}
+
 void RemoveOldAnswers(TaskScheduler* scheduler, TimePoint now) {
   const Duration retention_time = scheduler->times.retention_time;
   std::erase_if(scheduler->answers, [&](const auto& entry) {
@@ -837,6 +851,7 @@
                      TimePoint now) {
   scheduler->fence = fence;
   scheduler->next_sweep = {};
+  internal::RemoveDepartedWorkers(scheduler, now);
   for (auto& [id, worker] : scheduler->workers) {
     const WorkerDescription description = worker.description;
     const bool listed = worker.listed;
