Check a closed connection also after an unanswered heartbeat

Callers would see: jobs move between schedulers, as after any closed connection. Cause: a closed connection led to a second heartbeat only if the one before had been answered. At the healing of a partition a timeout comes first, so a closed connection still replaced a live scheduler (found by the review). Change: only a second close in a row counts as the end of the process. Test: ConnectionClosedAfterATimeoutKeepsTheScheduler failed before and passes.

--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -87,6 +87,7 @@
   bool heartbeat_in_flight = false;
   bool reachable = false;  // According to the latest election run.
   bool suspect = false;    // The latest heartbeat failed.
+  bool closed = false;     // The connection of the latest heartbeat was closed.
   std::uint64_t incarnation = 0;
 };
 
@@ -273,8 +274,7 @@
 // ---- Heartbeats ----
 
 // Stops the jobs of a daemon that follows another scheduler, which starts their
-// tasks. The daemon also cancels each job here, but only once, and that message
-// may be lost.
+// tasks. The daemon also cancels each job here, but these messages may be lost.
 void ReturnJobsOfLeavingDaemon(EntryDaemonState* daemon,
                                const DaemonReport& report) {
   const bool leaving =
@@ -315,10 +315,12 @@
   const auto* response = std::get_if<HttpResponse>(&result);
   if (response == nullptr || response->status != kStatusOk) {
     ++daemon->counts.heartbeats_failed;
-    const bool first_failure = !std::exchange(peer_state.suspect, true);
+    peer_state.suspect = true;
     const auto* error = std::get_if<HttpError>(&result);
-    if (error != nullptr && error->kind == HttpErrorKind::kClosed &&
-        first_failure) {
+    const bool closed =
+        error != nullptr && error->kind == HttpErrorKind::kClosed;
+    const bool closed_again = std::exchange(peer_state.closed, closed);
+    if (closed && !closed_again) {
       RepeatHeartbeat(daemon, vm);
     } else if (error != nullptr && error->kind != HttpErrorKind::kTimeout) {
       RecordDaemonFailure(&daemon->election, vm, incarnation);
@@ -330,6 +332,7 @@
   if (const auto* decoded = std::get_if<DaemonReport>(&report)) {
     OnReport(daemon, *decoded);
   }
+  peer_state.closed = false;
   // Replies to submissions to the scheduler are lost if its connection stopped
   // responding, so the jobs are submitted again.
   if (std::exchange(peer_state.suspect, false) &&
