Copy another daemon's workers while the store rejects this daemon

Cause: a response 429 or 503 of the store counted as a sign that the store is responsive, so a daemon that it rejected kept an old list of workers and did not copy a newer one. Change: rejected calls no longer count as responses.

--- a/packages/state/include/sequoiapath/state/key_value_client.h
+++ b/packages/state/include/sequoiapath/state/key_value_client.h
@@ -70,8 +70,8 @@
   // its renewal. Call it before a stop.
   void RevokeLease();
 
-  // Returns when the service last responded to a call, or the zero time point
-  // if it never has.
+  // Returns when the service last responded to a call and did not reject it, or
+  // the zero time point if it never has.
   TimePoint LastResponseTime() const;
 
   const KeyValueCounts& Counts() const;
--- a/packages/state/src/key_value_client.cc
+++ b/packages/state/src/key_value_client.cc
@@ -26,6 +26,8 @@
 // as long.
 constexpr milliseconds kCallTimeout{1500};
 constexpr milliseconds kConnectTimeout{500};
+constexpr int kStatusTooManyRequests = 429;
+constexpr int kStatusUnavailable = 503;
 constexpr Duration kIdleTimeout = std::chrono::seconds(30);
 constexpr Duration kFirstRetryDelay = milliseconds(100);
 constexpr Duration kLongestRetryDelay = milliseconds(800);
@@ -88,10 +90,20 @@
   }
 }
 
-// Records the time of a response. If an outage has ended, restarts the watches.
+// Returns whether the service refused the call, so that this daemon learns
+// nothing from it although the connection works.
+bool IsRejection(const HttpResponse& response) {
+  return response.status == kStatusTooManyRequests ||
+         response.status == kStatusUnavailable;
+}
+
+// Records the time of a response with data. If an outage has ended, restarts
+// the watches.
 void RecordResult(KeyValueClientState* client, const HttpResult& result) {
-  if (std::holds_alternative<HttpResponse>(result)) {
-    client->last_response_time = client->loop->Now();
+  if (const auto* response = std::get_if<HttpResponse>(&result)) {
+    if (!IsRejection(*response)) {
+      client->last_response_time = client->loop->Now();
+    }
     if (!std::exchange(client->outage, false)) return;
     client->loop->Schedule(Duration::zero(),
                            [client] { RestartWatches(client); });
