--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -438,15 +438,6 @@
   return "unknown";
 }
 
-// Withdraws the calls to an unreachable daemon. After a partition TCP would
-// deliver submissions that were sent to it, although their jobs have been
-// submitted to another scheduler since.
-void DisconnectFrom(EntryDaemonState* daemon, const std::string& vm) {
-  const auto peer = daemon->election.peers.find(vm);
-  if (peer == daemon->election.peers.end()) return;
-  daemon->peers->Disconnect(peer->second.report.endpoint);
-}
-
 // Applies changes of the daemons' reachability, and cancels the jobs of daemons
 // that became unreachable. Returns whether any daemon became reachable.
 bool UpdateReachability(EntryDaemonState* daemon) {
@@ -462,7 +453,6 @@
       any_newly_reachable = true;
     } else {
       daemon->service->CancelJobsOf(MakeOrigin(vm, peer_state.incarnation));
-      DisconnectFrom(daemon, vm);
     }
   }
   return any_newly_reachable;
