--- a/packages/transport/include/sequoiapath/transport/peer_client.h
+++ b/packages/transport/include/sequoiapath/transport/peer_client.h
@@ -47,11 +47,6 @@
   void Call(const Endpoint& endpoint, PeerCall call, Duration timeout,
             HttpCallback callback);
 
-  // Closes all connections to `endpoint` and discards what the peer has not
-  // received yet, so that no call in progress arrives later. These calls fail
-  // with kTimeout.
-  void Disconnect(const Endpoint& endpoint);
-
   // Returns the number of connections to `endpoint`, including those that are
   // being established.
   std::size_t Connections(const Endpoint& endpoint) const;
--- a/packages/transport/src/peer_client.cc
+++ b/packages/transport/src/peer_client.cc
@@ -528,17 +528,6 @@
   internal::WritePendingFrames(connection);
 }
 
-void PeerClient::Disconnect(const Endpoint& endpoint) {
-  auto& connections = this->state->connections;
-  for (auto entry = connections.find(endpoint); entry != connections.end();
-       entry = connections.find(endpoint)) {
-    PeerConnection* connection = entry->second.back().get();
-    connection->has_timed_out_call = true;
-    internal::FailConnection(connection, HttpErrorKind::kTimeout,
-                             "the peer is unreachable");
-  }
-}
-
 std::size_t PeerClient::Connections(const Endpoint& endpoint) const {
   const auto entry = this->state->connections.find(endpoint);
   return entry == this->state->connections.end() ? 0 : entry->second.size();
