Accept a submission only on a current heartbeat of the scheduler

Callers saw: a task that must run once ran twice at the same time (TWICE), as a cut of a zone of 3 s ended.

Cause: a first submission waited in the daemon's socket while the zone was cut off. The daemon submitted the job to the scheduler of its own side. When the cut ended, TCP delivered the first submission, and the other scheduler took it for a new job, since it couldn't tell how old the submission was.

Change: heartbeats name the time at which they were sent, on the sender's clock. A submission names the claim of the scheduler and the time of the latest heartbeat that the daemon has from it. The scheduler answers "not_accepted" if the claim isn't its own or if that heartbeat is older than 600 ms, after which a daemon may have chosen another scheduler. The daemon then submits the job again under the same generation, since the submission had no effect. Each rejection is logged (submission_stale: id, daemon, claims, age). Fields are appended, so daemons of the version before stay compatible; their submissions name no claim and are accepted as before.

Why it works: what a scheduler acts on is never older than the time for which its daemon is bound to it.

--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -50,6 +50,10 @@
   // 0.6 s that it has lost the job's daemon, and the leases that it granted
   // until then end one second later.
   Duration resubmission_wait = std::chrono::milliseconds(1800);
+  // A submission is accepted if this scheduler sent the heartbeat on which it
+  // is based at most this long ago. A daemon that hears no later heartbeat for
+  // this time submits its jobs to another scheduler.
+  Duration max_heartbeat_age = std::chrono::milliseconds(600);
   // Delay before a full scheduler claims a foreign worker again.
   Duration long_foreign_retry_delay = std::chrono::seconds(8);
   // The same delay for a partial scheduler, and for any scheduler after the
@@ -259,6 +263,13 @@
 // Returns whether resubmitted jobs wait for a newer list of the workers.
 bool AwaitsWorkerList(const TaskScheduler& scheduler, TimePoint now);
 
+// Returns whether a submission is meant for this scheduler and recent enough to
+// be accepted. TCP delivers an old one after a cut, when its daemon has already
+// submitted the job to another scheduler. A submission without
+// `scheduler_fence` comes from an earlier version and counts as current.
+bool IsCurrentSubmission(const TaskScheduler& scheduler, const StepJob& job,
+                         TimePoint now);
+
 // Accepts a job. Its answer follows as an action, possibly at once. A job that
 // is already in progress keeps its tasks, and one that has completed or failed
 // within `retention_time` gets the same answer again.
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -957,6 +957,14 @@
          now < scheduler.last_resubmission + scheduler.times.resubmission_wait;
 }
 
+bool IsCurrentSubmission(const TaskScheduler& scheduler, const StepJob& job,
+                         TimePoint now) {
+  if (job.scheduler_fence == 0) return true;
+  return job.scheduler_fence == scheduler.fence &&
+         now.time_since_epoch() - job.heartbeat_sent_at <=
+             scheduler.times.max_heartbeat_age;
+}
+
 void SubmitJob(TaskScheduler* scheduler, StepJob job, TimePoint now) {
   const std::string id = job.id;
   const auto answered = scheduler->answers.find(id);
--- a/packages/protocol/include/sequoiapath/protocol/step_job.h
+++ b/packages/protocol/include/sequoiapath/protocol/step_job.h
@@ -79,6 +79,12 @@
   // Ids of the workers on which former schedulers may have started tasks of the
   // job; empty for a first submission.
   std::vector<std::string> former_workers;
+  // The claim of the scheduler for which the submission is meant; zero if the
+  // submission comes from a version without this field.
+  std::uint64_t scheduler_fence = 0;
+  // When that scheduler sent the latest heartbeat that the submitting daemon
+  // has received, on the scheduler's clock.
+  std::chrono::milliseconds heartbeat_sent_at{0};
 };
 
 // Returns a lower bound of the job's run time: half of its critical path, since
@@ -94,9 +100,10 @@
   kCompleted,  // All tasks succeeded.
   kFailed,     // A task failed `max_attempts` times.
   kRefused,    // No task was started or will be started.
-  kMoved,      // This daemon is not the scheduler; submit to another one.
+  kMoved,      // Another scheduler must continue the job; submit it again.
   kExpired,    // The caller's deadline has passed.
   kCancelled,
+  kNotAccepted,  // The submission had no effect; submit the job again.
 };
 
 // Returns a short name for logs. Thread-safe.
--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -80,13 +80,14 @@
 SEQUOIAPATH_FIELDS(DaemonReport, m.vm, m.data_centre, m.endpoint, m.incarnation,
                    m.weight, m.eligible, m.claim, m.partial, m.stopping,
                    m.highest_fence, m.config_version, m.store_revision,
-                   m.scheduler)
+                   m.scheduler, m.sent_at, m.heard_incarnation, m.heard_sent_at)
 SEQUOIAPATH_FIELDS(Resources, m.milli_cores, m.memory_mb, m.accelerators)
 SEQUOIAPATH_FIELDS(JobStep, m.count, m.demand, m.estimate, m.after,
                    m.required_label, m.preferred_rack, m.max_per_worker)
 SEQUOIAPATH_FIELDS(StepJob, m.id, m.spec, m.steps, m.service, m.priority,
                    m.max_attempts, m.stretch, m.slack, m.remaining, m.age,
-                   m.generation, m.former_fence, m.former_workers)
+                   m.generation, m.former_fence, m.former_workers,
+                   m.scheduler_fence, m.heartbeat_sent_at)
 SEQUOIAPATH_FIELDS(StepJobAnswer, m.outcome, m.reason, m.retry_after)
 SEQUOIAPATH_FIELDS(WorkerEntry, m.id, m.value)
 SEQUOIAPATH_FIELDS(CatalogRequest, m.vm)
@@ -102,6 +103,8 @@
     std::tuple_size_v<decltype(Fields(std::declval<T&>()))>;
 template <>
 constexpr std::size_t kRequiredFields<DaemonReport> = 12;
+template <>
+constexpr std::size_t kRequiredFields<StepJob> = 13;
 
 // Maximum value of each enum that is encoded as a number.
 constexpr int MaxValue(ResourceKind /*kind*/) {
@@ -121,7 +124,7 @@
 }
 
 constexpr int MaxValue(StepJobOutcome /*outcome*/) {
-  return static_cast<int>(StepJobOutcome::kCancelled);
+  return static_cast<int>(StepJobOutcome::kNotAccepted);
 }
 
 // Enums of the caller's protocol are encoded as their stable names.
--- a/packages/protocol/src/step_job.cc
+++ b/packages/protocol/src/step_job.cc
@@ -44,6 +44,8 @@
       return "expired";
     case StepJobOutcome::kCancelled:
       return "cancelled";
+    case StepJobOutcome::kNotAccepted:
+      return "not_accepted";
   }
   return "unknown";
 }
--- a/packages/state/include/sequoiapath/state/scheduler_service.h
+++ b/packages/state/include/sequoiapath/state/scheduler_service.h
@@ -58,7 +58,9 @@
 
   // Submits a job for the daemon `origin`. `callback` is called once, possibly
   // before Submit returns. If the scheduler already has the job, the job
-  // continues and the new callback replaces the earlier one.
+  // continues and the new callback replaces the earlier one. Answers with
+  // kNotAccepted while this daemon does not schedule, and if the submission is
+  // not current (see IsCurrentSubmission).
   void Submit(StepJob job, std::string origin, StepJobCallback callback);
 
   // Cancels a job and stops its tasks. Returns false if the job is unknown.
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -139,6 +139,25 @@
   daemon->election.self.store_revision = daemon->catalog.worker_revision;
 }
 
+// Returns the time on this daemon's clock, as its heartbeats name it.
+milliseconds ReportTime(const EntryDaemonState& daemon) {
+  return std::chrono::duration_cast<milliseconds>(
+      daemon.loop->Now().time_since_epoch());
+}
+
+// Encodes this daemon's report for the daemon on `vm`, which may be unknown.
+std::string EncodeOwnReport(const EntryDaemonState& daemon,
+                            const std::string& vm) {
+  DaemonReport report = daemon.election.self;
+  report.sent_at = ReportTime(daemon);
+  const auto peer = daemon.election.peers.find(vm);
+  if (peer != daemon.election.peers.end()) {
+    report.heard_incarnation = peer->second.report.incarnation;
+    report.heard_sent_at = peer->second.report.sent_at;
+  }
+  return EncodePeerMessage(report);
+}
+
 // ---- Catalog ----
 
 void ApplyCatalogChange(EntryDaemonState* daemon, CatalogChange change) {
@@ -348,9 +367,8 @@
   if (peer_state.heartbeat_in_flight) return;
   peer_state.heartbeat_in_flight = true;
   ++daemon->counts.heartbeats;
-  PeerCall call{.path = kReportPath,
-                .headers = {},
-                .body = EncodePeerMessage(daemon->election.self)};
+  PeerCall call{
+      .path = kReportPath, .headers = {}, .body = EncodeOwnReport(*daemon, vm)};
   const std::uint64_t incarnation = IncarnationOf(daemon->election, vm);
   daemon->peers->Call(endpoint, std::move(call), kHeartbeatTimeout,
                       [daemon, vm, incarnation](const HttpResult& result) {
@@ -366,7 +384,7 @@
     if (seed == daemon->settings.peer_listen) continue;
     PeerCall call{.path = kReportPath,
                   .headers = {},
-                  .body = EncodePeerMessage(daemon->election.self)};
+                  .body = EncodeOwnReport(*daemon, "")};
     daemon->peers->Call(
         seed, std::move(call), kHeartbeatTimeout,
         [daemon](const HttpResult& result) {
@@ -553,8 +571,26 @@
   }
 }
 
+// Names the claim and the heartbeat of the scheduler on which the submission is
+// based, so that the scheduler can reject it if it arrives late.
+void SetSubmissionBasis(const EntryDaemonState& daemon,
+                        const std::string& leader, StepJob* job) {
+  if (leader == daemon.election.self.vm) {
+    job->scheduler_fence = daemon.election.self.claim;
+    job->heartbeat_sent_at = ReportTime(daemon);
+    return;
+  }
+  const auto peer = daemon.election.peers.find(leader);
+  if (peer == daemon.election.peers.end()) return;
+  const DaemonReport& report = peer->second.report;
+  if (report.sent_at.count() == 0) return;
+  job->scheduler_fence = report.claim;
+  job->heartbeat_sent_at = report.sent_at;
+}
+
 void SubmitToLeader(EntryDaemonState* daemon, const std::string& leader,
                     StepJob job, const SubmissionCallback& callback) {
+  SetSubmissionBasis(*daemon, leader, &job);
   if (leader == daemon->election.self.vm) {
     SubmitToService(daemon, std::move(job), OwnOrigin(*daemon),
                     [callback](const StepJobAnswer& answer) {
@@ -682,7 +718,7 @@
   }
   OnReport(daemon, *decoded);
   RunElectionNow(daemon);
-  responder.Respond(MakeOkResponse(EncodePeerMessage(daemon->election.self)));
+  responder.Respond(MakeOkResponse(EncodeOwnReport(*daemon, decoded->vm)));
 }
 
 void HandleSubmit(EntryDaemonState* daemon, const HttpRequest& request,
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -60,6 +60,10 @@
   // Number of the latest submission. Results of earlier ones are ignored.
   std::uint64_t submission = 0;
   bool was_submitted = false;  // To any scheduler so far.
+  // The values of `last_scheduler` and `was_submitted` before the latest
+  // submission. They apply again if the scheduler has not accepted it.
+  std::string former_scheduler;
+  bool was_submitted_before = false;
   std::uint32_t submissions = 0;
 };
 
@@ -118,6 +122,7 @@
       break;
     case StepJobOutcome::kExpired:
     case StepJobOutcome::kMoved:
+    case StepJobOutcome::kNotAccepted:
       ++counts->expired;
       break;
   }
@@ -156,6 +161,13 @@
   return {StepJobOutcome::kExpired, "cancelled", milliseconds(0)};
 }
 
+// Returns whether the job ends with this outcome. Otherwise it is submitted
+// again.
+bool IsFinal(StepJobOutcome outcome) {
+  return outcome != StepJobOutcome::kMoved &&
+         outcome != StepJobOutcome::kNotAccepted;
+}
+
 void OnSubmissionResult(JobGatewayState* gateway, const std::string& id,
                         std::uint64_t submission,
                         const SubmissionResult& result) {
@@ -168,11 +180,17 @@
     AnswerCaller(gateway, id, AnswerToCancelledSubmission());
     return;
   }
-  if (result.has_answer && result.answer.outcome != StepJobOutcome::kMoved) {
+  if (result.has_answer && IsFinal(result.answer.outcome)) {
     AnswerCaller(gateway, id, result.answer);
     return;
   }
-  if (result.may_have_been_sent) job.was_submitted = true;
+  if (result.has_answer &&
+      result.answer.outcome == StepJobOutcome::kNotAccepted) {
+    job.was_submitted = job.was_submitted_before;
+    job.last_scheduler = job.former_scheduler;
+  } else if (result.may_have_been_sent) {
+    job.was_submitted = true;
+  }
   Log(LogLevel::kInfo, "job_returned",
       {{"id", id},
        {"scheduler", job.submitted_to},
@@ -212,21 +230,21 @@
   // An earlier scheduler may still run tasks of the job, so later runs get a
   // higher generation.
   if (job->was_submitted) ++job->job.generation;
-  job->was_submitted = true;
+  job->was_submitted_before = std::exchange(job->was_submitted, true);
   job->submitted_to = leader;
   job->submission = gateway->next_submission++;
   if (!job->last_scheduler.empty() && job->last_scheduler != leader) {
     // The former scheduler may be reachable and still run tasks of the job.
     gateway->access.cancel(job->last_scheduler, job->job.id);
   }
-  const std::string former = std::exchange(job->last_scheduler, leader);
+  job->former_scheduler = std::exchange(job->last_scheduler, leader);
   StepJob copy = job->job;
   if (copy.generation > 0) {
     copy.former_workers = FormerWorkers(*gateway, *job);
     Log(LogLevel::kInfo, "job_resubmitted",
         {{"id", copy.id},
          {"scheduler", leader},
-         {"former", former},
+         {"former", job->former_scheduler},
          {"generation", copy.generation},
          {"former_fence", copy.former_fence},
          {"former_workers", copy.former_workers.size()},
@@ -389,6 +407,8 @@
                       .last_scheduler = "",
                       .submission = 0,
                       .was_submitted = false,
+                      .former_scheduler = "",
+                      .was_submitted_before = false,
                       .submissions = 0};
   GatewayJob* added =
       &gateway->jobs.emplace(id, std::move(accepted)).first->second;
--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -155,6 +155,25 @@
                      .Build();
 }
 
+StepJobAnswer NotAcceptedAnswer(const char* reason) {
+  return {StepJobOutcome::kNotAccepted, reason, milliseconds(0)};
+}
+
+// Logs a submission that is not accepted because it is too old or meant for an
+// earlier term of this scheduler.
+void LogStaleSubmission(const SchedulerServiceState& service,
+                        const StepJob& job, std::string_view origin) {
+  const Duration heartbeat_age =
+      service.loop->Now().time_since_epoch() - job.heartbeat_sent_at;
+  Log(LogLevel::kInfo, "submission_stale",
+      {{"id", job.id},
+       {"from", origin},
+       {"generation", job.generation},
+       {"claim", job.scheduler_fence},
+       {"own_claim", service.scheduler.fence},
+       {"heartbeat_age_ms", heartbeat_age / milliseconds(1)}});
+}
+
 // Cancels the jobs that the daemon `origin` submitted. Returns the removed
 // waiters, which have not been answered.
 std::vector<AnswerWaiter> StopJobsOf(SchedulerServiceState* service,
@@ -230,8 +249,13 @@
 void SchedulerService::Submit(StepJob job, std::string origin,
                               StepJobCallback callback) {
   if (this->state->scheduler.fence == 0) {
-    callback({StepJobOutcome::kMoved, "not_scheduling",
-              std::chrono::milliseconds(0)});
+    callback(internal::NotAcceptedAnswer("not_scheduling"));
+    return;
+  }
+  if (!IsCurrentSubmission(this->state->scheduler, job,
+                           this->state->loop->Now())) {
+    internal::LogStaleSubmission(*this->state, job, origin);
+    callback(internal::NotAcceptedAnswer("stale_submission"));
     return;
   }
   this->state->waiters[job.id] = {std::move(origin), std::move(callback)};
--- a/tests/error/entry_daemon_test.cc
+++ b/tests/error/entry_daemon_test.cc
@@ -141,6 +141,7 @@
           const auto* decoded = std::get_if<DaemonReport>(&report);
           if (decoded == nullptr) return;
           this->daemon_schedules = decoded->claim != 0;
+          this->daemon_report = *decoded;
         });
   }
 
@@ -156,7 +157,28 @@
   // Submits a job of the peer daemon. A later generation is not subject to
   // admission, so that the job waits although no worker is known.
   void Submit(const std::string& origin = kPeerOrigin) {
+    this->Submit(origin, StepJob{});
+  }
+
+  // Submits a job of the peer daemon that is based on this report of the
+  // daemon.
+  void SubmitBasedOn(const DaemonReport& report) {
     StepJob job;
+    job.scheduler_fence = report.claim;
+    job.heartbeat_sent_at = report.sent_at;
+    this->Submit(kPeerOrigin, std::move(job));
+  }
+
+  // Sends reports of the peer, so that the daemon counts it as reachable.
+  void SendReportsFor(Duration length) {
+    const TimePoint limit = this->loop.Now() + length;
+    while (this->loop.Now() < limit) {
+      this->SendReport();
+      RunFor(&this->loop, milliseconds(50));
+    }
+  }
+
+  void Submit(const std::string& origin, StepJob job) {
     job.id = kJob;
     job.service = "desk";
     job.max_attempts = 1;
@@ -252,6 +274,7 @@
   std::unique_ptr<PeerClient> client;
   std::unique_ptr<HttpClient> caller;
   bool daemon_schedules = false;  // According to its latest report.
+  DaemonReport daemon_report;     // The latest reply to SendReport.
   std::optional<StepJobAnswer> answer;
 };
 
@@ -305,6 +328,39 @@
   }
 }
 
+// Guards against two runs of a task at a time: a submission waits in a socket
+// while a zone is cut off, its daemon submits the job to another scheduler, and
+// TCP delivers the first submission when the cut ends.
+TEST_F(EntryDaemonErrorTest, SubmissionDeliveredAfterACutIsNotAccepted) {
+  ASSERT_TRUE(this->WaitUntilDaemonSchedules());
+  const DaemonReport before_cut = this->daemon_report;
+  this->SendReportsFor(milliseconds(700));
+  this->SubmitBasedOn(before_cut);
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return this->answer.has_value(); }, seconds(1)));
+  EXPECT_EQ(this->answer->outcome, StepJobOutcome::kNotAccepted);
+}
+
+// Guards against a submission that is accepted in a later term of a scheduler
+// than the one for which it was made.
+TEST_F(EntryDaemonErrorTest, SubmissionForAnotherClaimIsNotAccepted) {
+  ASSERT_TRUE(this->WaitUntilDaemonSchedules());
+  DaemonReport earlier_term = this->daemon_report;
+  --earlier_term.claim;
+  this->SubmitBasedOn(earlier_term);
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return this->answer.has_value(); }, seconds(1)));
+  EXPECT_EQ(this->answer->outcome, StepJobOutcome::kNotAccepted);
+}
+
+// Guards against rejected submissions of daemons that hear the scheduler.
+TEST_F(EntryDaemonErrorTest, SubmissionOnACurrentHeartbeatIsAccepted) {
+  ASSERT_TRUE(this->WaitUntilDaemonSchedules());
+  this->SubmitBasedOn(this->daemon_report);
+  this->SendReportsFor(milliseconds(500));
+  EXPECT_FALSE(this->answer);
+}
+
 class RejectingStoreTest : public EntryDaemonErrorTest {
  protected:
   RejectingStoreTest() {
--- a/tests/error/job_gateway_test.cc
+++ b/tests/error/job_gateway_test.cc
@@ -310,5 +310,30 @@
   EXPECT_TRUE(this->submissions.empty());
 }
 
+// Guards against a wait of 1.8 s for runs that don't exist: a scheduler that
+// has not accepted a job can't have started its tasks.
+TEST_F(JobGatewayErrorTest, NotAcceptedSubmissionKeepsTheGeneration) {
+  this->SetRoutes();
+  this->Post(seconds(3));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  this->submissions[0].callback(Answered(StepJobOutcome::kNotAccepted));
+  ASSERT_TRUE(this->WaitForSubmissions(2));
+  EXPECT_EQ(this->submissions[1].job.generation, 0U);
+}
+
+// Guards against two runs of a task at a time: an earlier scheduler may have
+// accepted the job, although the latest one has not.
+TEST_F(JobGatewayErrorTest, NotAcceptedSubmissionKeepsTheEarlierScheduler) {
+  this->SetRoutes();
+  this->Post(seconds(3));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  this->leader = "vm-2";
+  this->gateway->LeaderChanged();
+  ASSERT_TRUE(this->WaitForSubmissions(2));
+  this->submissions[1].callback(Answered(StepJobOutcome::kNotAccepted));
+  ASSERT_TRUE(this->WaitForSubmissions(3));
+  EXPECT_EQ(this->submissions[2].job.generation, 2U);
+}
+
 }  // namespace
 }  // namespace sequoiapath
