Count the time of a suspension on the event loop's clock

Callers could see: a machine that was suspended continues as if no time had passed. Its scheduler starts tasks of jobs that other schedulers run by then.

Cause: std::chrono::steady_clock reads CLOCK_MONOTONIC, which stands still while a machine is suspended, so heartbeats, submissions and leases looked current.

Change: EventLoop::Now reads CLOCK_BOOTTIME. On the first pass after a suspension every age is the true one: other daemons count as unreachable and expired jobs as expired.

Evidence: not shown by a test of its own, because a test can't suspend the machine; the random test of the scheduler (PausedSchedulers) and the model of the request path (Suspensions) play the clock.

--- a/packages/transport/include/sequoiapath/transport/event_loop.h
+++ b/packages/transport/include/sequoiapath/transport/event_loop.h
@@ -31,9 +31,9 @@
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
-  // Returns the current time. Reads the clock on every call instead of caching
-  // it per iteration, so that a process that was suspended uses the actual
-  // time.
+  // Returns the current time, which includes the time for which the machine was
+  // suspended. Reads the clock on every call instead of caching it per
+  // iteration, so that a process that was suspended uses the actual time.
   TimePoint Now() const;
 
   // Runs `callback` once, no earlier than `delay` from now.
--- a/packages/transport/src/event_loop.cc
+++ b/packages/transport/src/event_loop.cc
@@ -1,6 +1,7 @@
 #include "sequoiapath/transport/event_loop.h"
 
 #include <h2o.h>
+#include <time.h>
 
 #include <algorithm>
 #include <memory>
@@ -24,7 +25,12 @@
   // loop that still has sockets. The process exits soon after its loop ends.
 }
 
-TimePoint EventLoop::Now() const { return Clock::now(); }
+TimePoint EventLoop::Now() const {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint(std::chrono::seconds(time.tv_sec) +
+                   std::chrono::nanoseconds(time.tv_nsec));
+}
 
 TimerId EventLoop::Schedule(Duration delay, std::function<void()> callback) {
   const TimerId id = this->next_timer++;
