Run a job only while its daemon is known to be alive

Callers could see: TWICE after a broken connection. The caller sends its job again 1.3 s later, to any daemon, whose scheduler takes it for a new job, while the first run goes on under another scheduler.

Cause: nothing bounded the life of a run from the daemon that holds the caller's connection to the worker's lease. A scheduler noticed a lost daemon after 0.6 s, leases that it granted until then ended up to 1 s later, and a scheduler that had stood still continued with jobs whose daemons had left it.

Change: a scheduler records when each daemon was last known to be alive: when it sent a heartbeat that the daemon answered, or the heartbeat that a message of the daemon names. No task starts for a daemon that was confirmed more than 800 ms ago, its jobs are then returned, and no lease ends more than 1,150 ms after the oldest confirmation among the daemons whose jobs run on the worker. With the drift of the worker's clock and the time to end its runs that is below 1,300 ms. The daemon confirms itself in its own timer, so a scheduler that was suspended starts nothing before it has seen the time.

Evidence: TaskSchedulerTest.RunsEndBeforeTheCallerOfALostDaemonSendsItsJobAgain and NoTaskStartsForADaemonThatIsNotConfirmed need the new function, so they don't build on the code before; 51 tests of the scheduler and 27 of the gateway and the daemon pass.

Why it works: each link ends its part when it no longer hears the one before, so a second attempt finds no run, without knowing who had the job.

--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -54,6 +54,15 @@
   // is based at most this long ago. A daemon that hears no later heartbeat for
   // this time submits its jobs to another scheduler.
   Duration max_heartbeat_age = std::chrono::milliseconds(600);
+  // No task of a job starts once the daemon that submitted the job was last
+  // confirmed to be alive longer ago than this.
+  Duration daemon_timeout = std::chrono::milliseconds(800);
+  // A lease ends at most this long after the oldest confirmation among the
+  // daemons whose jobs run on the worker. With the worker's clock drift and the
+  // time that it needs to end its runs, this is less than the 1,300 ms after
+  // which a caller that has lost its daemon sends its job again, so the next
+  // scheduler finds no run of it.
+  std::chrono::milliseconds confirmed_lease{1150};
   // Delay before a full scheduler claims a foreign worker again.
   Duration long_foreign_retry_delay = std::chrono::seconds(8);
   // The same delay for a partial scheduler, and for any scheduler after the
@@ -119,6 +128,9 @@
 // A job and the state of its tasks.
 struct ScheduledJob {
   StepJob job;
+  // The daemon that submitted the job last; empty if its confirmations are not
+  // followed.
+  std::string origin;
   std::vector<ScheduledStep> steps;
   QueueKey key;
   TimePoint arrived;    // When the caller's request reached the system.
@@ -196,6 +208,8 @@
   TimePoint workers_listed_at;
   WorkerHealth health;
   std::unordered_map<std::string, ScheduledJob> jobs;
+  // By daemon: the latest time at which it was known to be alive.
+  std::unordered_map<std::string, TimePoint> confirmations;
   // All jobs with waiting tasks.
   std::map<QueueKey, ScheduledJob*> queue;
   std::uint64_t next_sequence = 0;
@@ -270,10 +284,23 @@
 bool IsCurrentSubmission(const TaskScheduler& scheduler, const StepJob& job,
                          TimePoint now);
 
-// Accepts a job. Its answer follows as an action, possibly at once. A job that
-// is already in progress keeps its tasks, and one that has completed or failed
-// within `retention_time` gets the same answer again.
-void SubmitJob(TaskScheduler* scheduler, StepJob job, TimePoint now);
+// Records that the daemon `origin` was alive at `at`, because it has answered a
+// message that was sent to it then. Earlier times than the recorded one have no
+// effect.
+void ConfirmDaemon(TaskScheduler* scheduler, const std::string& origin,
+                   TimePoint at);
+
+// Removes and returns the daemons whose latest confirmation is older than
+// `daemon_timeout`. Their jobs must be stopped.
+std::vector<std::string> TakeUnconfirmedDaemons(TaskScheduler* scheduler,
+                                                TimePoint now);
+
+// Accepts a job of the daemon `origin`. Its answer follows as an action,
+// possibly at once. A job that is already in progress keeps its tasks, and one
+// that has completed or failed within `retention_time` gets the same answer
+// again. With an empty `origin` no confirmations are needed.
+void SubmitJob(TaskScheduler* scheduler, StepJob job, TimePoint now,
+               const std::string& origin = "");
 
 // Cancels a job and stops its tasks. Returns false if the job is unknown.
 bool CancelJob(TaskScheduler* scheduler, const std::string& job, TimePoint now);
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -6,6 +6,7 @@
 #include <limits>
 #include <utility>
 
+#include "daemon_confirmations.h"
 #include "former_runs.h"
 #include "scheduler_log.h"
 #include "sequoiapath/coordination/scheduler_election.h"
@@ -390,8 +391,9 @@
   const bool extends = worker->unanswered_renewals == 0 &&
                        worker->orphans == 0 &&
                        worker->claim == ClaimState::kClaimed;
-  order.lease_end = extends ? NextLeaseEnd(*worker, scheduler->times.lease, now)
-                            : worker->last_lease_end;
+  order.lease_end = extends
+                        ? ConfirmedLeaseEnd(*scheduler, *worker, nullptr, now)
+                        : worker->last_lease_end;
   worker->last_lease_end = std::max(worker->last_lease_end, order.lease_end);
   order.fence = worker->fence;
   order.last_seen_end = worker->last_seen_end;
@@ -611,7 +613,7 @@
   run.run = ++job->last_run;
   run.demand = step.demand;
   run.estimate = step.estimate;
-  run.lease_end = NextLeaseEnd(*worker, scheduler->times.lease, now);
+  run.lease_end = ConfirmedLeaseEnd(*scheduler, *worker, job, now);
   run.ordered_at = now;
   worker->last_lease_end = std::max(worker->last_lease_end, run.lease_end);
   scheduler->actions.push_back(
@@ -668,6 +670,7 @@
   }
   for (ScheduledJob* job : jobs) {
     if (view.largest_free_milli_cores < scheduler->smallest_demand) return;
+    if (!IsDaemonConfirmed(*scheduler, *job, now)) continue;
     if (!MayStartTasks(scheduler, job, now)) continue;
     PlaceJob(scheduler, &view, job, now);
   }
@@ -965,7 +968,25 @@
              scheduler.times.max_heartbeat_age;
 }
 
-void SubmitJob(TaskScheduler* scheduler, StepJob job, TimePoint now) {
+void ConfirmDaemon(TaskScheduler* scheduler, const std::string& origin,
+                   TimePoint at) {
+  TimePoint& latest = scheduler->confirmations[origin];
+  latest = std::max(latest, at);
+}
+
+std::vector<std::string> TakeUnconfirmedDaemons(TaskScheduler* scheduler,
+                                                TimePoint now) {
+  std::vector<std::string> unconfirmed;
+  std::erase_if(scheduler->confirmations, [&](const auto& entry) {
+    if (now - entry.second <= scheduler->times.daemon_timeout) return false;
+    unconfirmed.push_back(entry.first);
+    return true;
+  });
+  return unconfirmed;
+}
+
+void SubmitJob(TaskScheduler* scheduler, StepJob job, TimePoint now,
+               const std::string& origin) {
   const std::string id = job.id;
   const auto answered = scheduler->answers.find(id);
   if (answered != scheduler->answers.end()) {
@@ -979,6 +1000,7 @@
   }
   ScheduledJob* known = internal::FindJob(scheduler, id);
   if (known != nullptr) {
+    known->origin = origin;
     internal::ResumeJob(scheduler, known, job, now);
     return;
   }
@@ -990,7 +1012,7 @@
       return;
     }
   }
-  internal::InsertJob(scheduler, std::move(job), now);
+  internal::InsertJob(scheduler, std::move(job), now)->origin = origin;
   internal::AdoptKnownTasks(scheduler, id, now);
 }
 
--- a/packages/state/include/sequoiapath/state/scheduler_service.h
+++ b/packages/state/include/sequoiapath/state/scheduler_service.h
@@ -61,7 +61,15 @@
   // continues and the new callback replaces the earlier one. Answers with
   // kNotAccepted while this daemon does not schedule, and if the submission is
   // not current (see IsCurrentSubmission).
-  void Submit(StepJob job, std::string origin, StepJobCallback callback);
+  void Submit(StepJob job, const std::string& origin, StepJobCallback callback);
+
+  // Records that the daemon `origin` was alive at `at`, because it has answered
+  // a message that was sent to it then.
+  void ConfirmDaemon(const std::string& origin, TimePoint at);
+
+  // Stops the jobs of the daemons that have not been confirmed for
+  // SchedulerTimes::daemon_timeout, and answers them with kMoved.
+  void ReturnJobsOfUnconfirmedDaemons();
 
   // Cancels a job and stops its tasks. Returns false if the job is unknown.
   bool Cancel(const std::string& job);
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -325,10 +325,11 @@
   SendHeartbeat(daemon, vm, peer->second.report.endpoint);
 }
 
-// `incarnation` is that of the daemon on `vm` when the heartbeat was sent to
-// it.
+// `incarnation` is that of the daemon on `vm` when the heartbeat was sent to it
+// at `sent_at`.
 void OnHeartbeatReply(EntryDaemonState* daemon, const std::string& vm,
-                      std::uint64_t incarnation, const HttpResult& result) {
+                      std::uint64_t incarnation, TimePoint sent_at,
+                      const HttpResult& result) {
   PeerState& peer_state = daemon->peer_states[vm];
   peer_state.heartbeat_in_flight = false;
   const auto* response = std::get_if<HttpResponse>(&result);
@@ -350,6 +351,8 @@
   auto report = DecodePeerMessage<DaemonReport>(response->body);
   if (const auto* decoded = std::get_if<DaemonReport>(&report)) {
     OnReport(daemon, *decoded);
+    daemon->service->ConfirmDaemon(
+        MakeOrigin(decoded->vm, decoded->incarnation), sent_at);
   }
   peer_state.closed = false;
   // Replies to submissions to the scheduler are lost if its connection stopped
@@ -370,10 +373,12 @@
   PeerCall call{
       .path = kReportPath, .headers = {}, .body = EncodeOwnReport(*daemon, vm)};
   const std::uint64_t incarnation = IncarnationOf(daemon->election, vm);
-  daemon->peers->Call(endpoint, std::move(call), kHeartbeatTimeout,
-                      [daemon, vm, incarnation](const HttpResult& result) {
-                        OnHeartbeatReply(daemon, vm, incarnation, result);
-                      });
+  const TimePoint sent_at = daemon->loop->Now();
+  daemon->peers->Call(
+      endpoint, std::move(call), kHeartbeatTimeout,
+      [daemon, vm, incarnation, sent_at](const HttpResult& result) {
+        OnHeartbeatReply(daemon, vm, incarnation, sent_at, result);
+      });
 }
 
 // Sends a report to the seeds while no other daemon is known. The replies are
@@ -531,7 +536,9 @@
 }
 
 void ElectionTick(EntryDaemonState* daemon) {
+  daemon->service->ConfirmDaemon(OwnOrigin(*daemon), daemon->loop->Now());
   RunElectionNow(daemon);
+  daemon->service->ReturnJobsOfUnconfirmedDaemons();
   daemon->loop->Schedule(kElectionInterval, [daemon] { ElectionTick(daemon); });
 }
 
@@ -717,6 +724,12 @@
     return;
   }
   OnReport(daemon, *decoded);
+  // The sender was alive when it received the report that it names.
+  if (decoded->heard_incarnation == daemon->election.self.incarnation) {
+    daemon->service->ConfirmDaemon(
+        MakeOrigin(decoded->vm, decoded->incarnation),
+        TimePoint(decoded->heard_sent_at));
+  }
   RunElectionNow(daemon);
   responder.Respond(MakeOkResponse(EncodeOwnReport(*daemon, decoded->vm)));
 }
@@ -733,6 +746,12 @@
   }
   const std::string origin(
       FindHeader(request.headers, kOriginHeader).value_or(""));
+  if (decoded->scheduler_fence == 0) {  // From an earlier version.
+    daemon->service->ConfirmDaemon(origin, daemon->loop->Now());
+  } else if (decoded->scheduler_fence == daemon->election.self.claim) {
+    daemon->service->ConfirmDaemon(origin,
+                                   TimePoint(decoded->heartbeat_sent_at));
+  }
   SubmitToService(
       daemon, std::move(*decoded), origin,
       [responder](const StepJobAnswer& answer) {
--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -193,6 +193,19 @@
   return removed;
 }
 
+// Stops the jobs that the daemon `origin` submitted and answers them with
+// kMoved.
+void ReturnJobs(SchedulerServiceState* service, std::string_view origin,
+                const char* reason) {
+  const std::vector<AnswerWaiter> waiters = StopJobsOf(service, origin);
+  if (waiters.empty()) return;
+  Log(LogLevel::kWarning, "jobs_of_leaving_daemon_stopped",
+      {{"vm", origin}, {"jobs", waiters.size()}, {"reason", reason}});
+  for (const AnswerWaiter& waiter : waiters) {
+    waiter.callback({StepJobOutcome::kMoved, reason, milliseconds(0)});
+  }
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -246,7 +259,19 @@
   internal::ScheduleSchedulerRun(this->state.get());
 }
 
-void SchedulerService::Submit(StepJob job, std::string origin,
+void SchedulerService::ConfirmDaemon(const std::string& origin, TimePoint at) {
+  sequoiapath::ConfirmDaemon(&this->state->scheduler, origin, at);
+}
+
+void SchedulerService::ReturnJobsOfUnconfirmedDaemons() {
+  const TimePoint now = this->state->loop->Now();
+  for (const std::string& origin :
+       TakeUnconfirmedDaemons(&this->state->scheduler, now)) {
+    internal::ReturnJobs(this->state.get(), origin, "daemon_not_confirmed");
+  }
+}
+
+void SchedulerService::Submit(StepJob job, const std::string& origin,
                               StepJobCallback callback) {
   if (this->state->scheduler.fence == 0) {
     callback(internal::NotAcceptedAnswer("not_scheduling"));
@@ -258,8 +283,9 @@
     callback(internal::NotAcceptedAnswer("stale_submission"));
     return;
   }
-  this->state->waiters[job.id] = {std::move(origin), std::move(callback)};
-  SubmitJob(&this->state->scheduler, std::move(job), this->state->loop->Now());
+  this->state->waiters[job.id] = {origin, std::move(callback)};
+  SubmitJob(&this->state->scheduler, std::move(job), this->state->loop->Now(),
+            origin);
   internal::ExecuteActions(this->state.get());
   internal::ScheduleSchedulerRun(this->state.get());
 }
@@ -289,14 +315,8 @@
 }
 
 void SchedulerService::ReturnJobsOf(std::string_view origin) {
-  const auto waiters = internal::StopJobsOf(this->state.get(), origin);
-  if (waiters.empty()) return;
-  Log(LogLevel::kWarning, "jobs_of_leaving_daemon_stopped",
-      {{"vm", origin}, {"jobs", waiters.size()}});
-  for (const internal::AnswerWaiter& waiter : waiters) {
-    waiter.callback({StepJobOutcome::kMoved, "daemon_follows_other_scheduler",
-                     std::chrono::milliseconds(0)});
-  }
+  internal::ReturnJobs(this->state.get(), origin,
+                       "daemon_follows_other_scheduler");
 }
 
 const TaskScheduler& SchedulerService::scheduler() const {
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -73,8 +73,8 @@
     } while (this->now < end);
   }
 
-  void Submit(StepJob job) {
-    SubmitJob(&this->scheduler, std::move(job), this->now);
+  void Submit(StepJob job, const std::string& origin = "") {
+    SubmitJob(&this->scheduler, std::move(job), this->now, origin);
     RunScheduler(&this->scheduler, this->now);
     this->Deliver();
   }
@@ -584,5 +584,63 @@
   EXPECT_EQ(harness.AnswerOf("waiting")->outcome, StepJobOutcome::kRefused);
 }
 
+// Guards against two runs of a task at a time: a daemon is killed or cut off,
+// its caller sends the job again 1.3 s later, and another scheduler starts the
+// tasks while the first run goes on.
+TEST(TaskSchedulerTest, RunsEndBeforeTheCallerOfALostDaemonSendsItsJobAgain) {
+  SchedulerHarness harness(2);
+  harness.run_time = milliseconds(5000);
+  StepJob job = Job("j1", 2);
+  job.remaining = milliseconds(8000);
+  job.steps[0].estimate = milliseconds(5000);
+  ConfirmDaemon(&harness.scheduler, "vm-2/7", harness.now);
+  harness.Submit(std::move(job), "vm-2/7");
+  harness.Run(milliseconds(900));
+  EXPECT_EQ(harness.RunningOf("j1"), 2U);
+  harness.Run(milliseconds(400));
+  EXPECT_EQ(harness.RunningOf("j1"), 0U);
+}
+
+// Guards against leases that are cut short although the daemon is alive.
+TEST(TaskSchedulerTest, RunsOfAConfirmedDaemonContinue) {
+  SchedulerHarness harness(2);
+  harness.run_time = milliseconds(5000);
+  StepJob job = Job("j1", 2);
+  job.remaining = milliseconds(8000);
+  job.steps[0].estimate = milliseconds(5000);
+  ConfirmDaemon(&harness.scheduler, "vm-2/7", harness.now);
+  harness.Submit(std::move(job), "vm-2/7");
+  for (int i = 0; i < 10; ++i) {
+    ConfirmDaemon(&harness.scheduler, "vm-2/7",
+                  harness.now - milliseconds(300));
+    harness.Run(milliseconds(300));
+  }
+  EXPECT_EQ(harness.RunningOf("j1"), 2U);
+}
+
+// Guards against tasks that start for a daemon that may have ended: a scheduler
+// that was suspended continues with the jobs that it had in memory.
+TEST(TaskSchedulerTest, NoTaskStartsForADaemonThatIsNotConfirmed) {
+  SchedulerHarness harness(2);
+  ConfirmDaemon(&harness.scheduler, "vm-2/7", harness.now - milliseconds(810));
+  harness.Submit(Job("j1", 2), "vm-2/7");
+  harness.Run(milliseconds(100));
+  EXPECT_EQ(harness.RunningOf("j1"), 0U);
+  ConfirmDaemon(&harness.scheduler, "vm-2/7", harness.now);
+  harness.Run(milliseconds(150));
+  EXPECT_EQ(harness.RunningOf("j1"), 2U);
+}
+
+// Guards against a job that waits for a lost daemon until its deadline.
+TEST(TaskSchedulerTest, UnconfirmedDaemonsAreReturnedOnce) {
+  SchedulerHarness harness(1);
+  ConfirmDaemon(&harness.scheduler, "vm-2/7", harness.now);
+  ConfirmDaemon(&harness.scheduler, "vm-3/9", harness.now + milliseconds(500));
+  const TimePoint later = harness.now + milliseconds(801);
+  EXPECT_EQ(TakeUnconfirmedDaemons(&harness.scheduler, later),
+            std::vector<std::string>{"vm-2/7"});
+  EXPECT_TRUE(TakeUnconfirmedDaemons(&harness.scheduler, later).empty());
+}
+
 }  // namespace
 }  // namespace sequoiapath
