http client: take the timeout out of the event loop

Cause: HttpClientBuilder::Build registers the client's I/O timeout with the event loop, and ~HttpClient freed it without taking it out of the loop's list. UpdateClient destroys a client when a worker's address changes. The loop then walked a list with freed links.

Change: ~HttpClient disposes of the timeout after it has cancelled all calls. h2o unlinks a call from the timeout when the call is cancelled, and connections that are closed one iteration later do not use it.

Evidence: both new tests ended with signal 11 on the former code (exit status 139), also without AddressSanitizer, because they overwrite the freed memory before the loop runs. They pass now, and three runs of the whole file pass.

--- a/packages/transport/src/http_client.cc
+++ b/packages/transport/src/http_client.cc
@@ -317,11 +317,15 @@
     : state(std::move(state)) {}
 
 HttpClient::~HttpClient() {
-  while (!this->state->calls.empty()) {
-    this->Cancel(this->state->calls.begin()->first);
+  internal::HttpClientState* client = this->state.get();
+  while (!client->calls.empty()) {
+    this->Cancel(client->calls.begin()->first);
   }
   this->CloseIdleConnections();
-  this->state->loop->Cancel(this->state->idle_timer);
+  client->loop->Cancel(client->idle_timer);
+  // The event loop keeps a list of its timeouts. No call uses this one any
+  // more, and connections that are closed later do not use it.
+  h2o_timeout_dispose(client->loop->native(), &client->io_timeout);
 }
 
 HttpRequestId HttpClient::Send(HttpRequest request, Duration timeout,
--- a/tests/error/http_client_test.cc
+++ b/tests/error/http_client_test.cc
@@ -1,9 +1,12 @@
 // Guards against the delivery of a request after it was reported as timed out,
-// and against connections beyond the limit.
+// against connections beyond the limit, and against a destroyed client that the
+// event loop still uses.
 
 #include "sequoiapath/transport/http_client.h"
 
+#include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "loop_testing.h"
@@ -34,6 +37,81 @@
   EXPECT_TRUE(reset);
 }
 
+// Allocates and overwrites blocks of all sizes that a client may have, so that
+// a pointer to a freed client leads to invalid addresses.
+std::vector<std::string> ReuseFreedMemory() {
+  constexpr std::size_t kLargestBlock = 2048;
+  constexpr std::size_t kBlockStep = 16;
+  constexpr int kBlocksPerSize = 64;
+  std::vector<std::string> blocks;
+  for (std::size_t size = kBlockStep; size <= kLargestBlock;
+       size += kBlockStep) {
+    for (int i = 0; i < kBlocksPerSize; ++i) {
+      blocks.emplace_back(size - 1, '\x5a');
+    }
+  }
+  return blocks;
+}
+
+// Guards against a crash after workers came back at other addresses: their
+// clients are destroyed, but the event loop still had their timeouts in a list.
+TEST(HttpClientErrorTest, LoopRunsAfterClientsAreDestroyed) {
+  constexpr int kClients = 48;
+  EventLoop loop;
+  const auto server = StartServer(
+      &loop, [](const HttpRequest&, const HttpResponder& responder) {
+        responder.Respond({200, {}, "x"});
+      });
+  std::vector<std::unique_ptr<HttpClient>> clients;
+  int answered = 0;
+  for (int i = 0; i < kClients; ++i) {
+    clients.push_back(HttpClientBuilder(&loop, server->endpoint()).Build());
+    clients.back()->Send({"GET", "/", {}, "", ""}, std::chrono::seconds(5),
+                         [&](const HttpResult&) { ++answered; });
+  }
+  ASSERT_TRUE(RunUntil(&loop, [&] { return answered == kClients; }));
+  clients.clear();
+  const std::vector<std::string> blocks = ReuseFreedMemory();
+  RunFor(&loop, milliseconds(20));
+  answered = 0;
+  const auto client = HttpClientBuilder(&loop, server->endpoint()).Build();
+  client->Send({"GET", "/", {}, "", ""}, std::chrono::seconds(5),
+               [&](const HttpResult& result) {
+                 answered += std::holds_alternative<HttpResponse>(result);
+               });
+  EXPECT_TRUE(RunUntil(&loop, [&] { return answered == 1; }));
+}
+
+// Guards against the same fault with requests that are in flight when their
+// client is destroyed: connecting, and waiting for a response.
+TEST(HttpClientErrorTest, LoopRunsAfterClientsWithRequestsAreDestroyed) {
+  constexpr int kClients = 48;
+  EventLoop loop;
+  std::vector<HttpResponder> held;
+  const auto server = StartServer(
+      &loop, [&](const HttpRequest&, const HttpResponder& responder) {
+        held.push_back(responder);
+      });
+  std::vector<std::unique_ptr<HttpClient>> clients;
+  int cancelled = 0;
+  const auto add_client = [&] {
+    clients.push_back(HttpClientBuilder(&loop, server->endpoint()).Build());
+    clients.back()->Send({"GET", "/", {}, "", ""}, std::chrono::seconds(5),
+                         [&](const HttpResult& result) {
+                           const auto* error = std::get_if<HttpError>(&result);
+                           cancelled += error && error->kind ==
+                                                     HttpErrorKind::kCancelled;
+                         });
+  };
+  for (int i = 0; i < kClients / 2; ++i) add_client();
+  ASSERT_TRUE(RunUntil(&loop, [&] { return held.size() == kClients / 2; }));
+  for (int i = 0; i < kClients / 2; ++i) add_client();
+  clients.clear();
+  EXPECT_EQ(cancelled, kClients);
+  const std::vector<std::string> blocks = ReuseFreedMemory();
+  RunFor(&loop, milliseconds(50));
+}
+
 // Guards against a daemon that keeps more than its share of a worker's
 // connections: the total of all daemons would exceed the worker's limit.
 TEST(HttpClientErrorTest, LoweredLimitClosesConnections) {
