http client: a callback may destroy its client

Cause: a request whose response is complete puts its connection back among the idle ones, and its callback runs before h2o has returned the socket to the connection's pool. If the callback destroyed the client, lowered its limit or closed idle connections, that pool was freed at once.

Change: connections are closed in the next iteration of the loop in all these places, as those of failed requests were already.

--- a/packages/transport/include/sequoiapath/transport/http_client.h
+++ b/packages/transport/include/sequoiapath/transport/http_client.h
@@ -58,6 +58,8 @@
 // broken. Thread safety: loop thread only.
 class HttpClient {
  public:
+  // Cancels all requests. May run in the callback of a request, but not in
+  // `on_chunk`.
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/packages/transport/src/http_client.cc
+++ b/packages/transport/src/http_client.cc
@@ -94,6 +94,16 @@
   h2o_socketpool_dispose(&connection->pool);
 }
 
+// Closes the connection in the next iteration of the loop, because h2o may
+// still use the pool in the callback that is on the stack.
+void CloseConnectionLater(EventLoop* loop,
+                          std::unique_ptr<Connection> connection) {
+  auto shared =
+      std::make_shared<std::unique_ptr<Connection>>(std::move(connection));
+  loop->Schedule(Duration::zero(),
+                 [shared] { CloseConnection(std::move(*shared)); });
+}
+
 std::unique_ptr<Connection> NewConnection(HttpClientState* client) {
   auto connection = std::make_unique<Connection>();
   InitPool(client, &connection->pool);
@@ -157,13 +167,7 @@
   if (reusable && within_limit) {
     ReturnToIdle(client, std::move(owned->connection));
   } else {
-    // Closes the connection in the next iteration of the loop, because h2o
-    // still uses the pool in this callback.
-    auto connection = std::make_shared<std::unique_ptr<Connection>>(
-        std::move(owned->connection));
-    client->loop->Schedule(Duration::zero(), [connection] {
-      CloseConnection(std::move(*connection));
-    });
+    CloseConnectionLater(client->loop, std::move(owned->connection));
   }
   owned->callback(std::move(result));
 }
@@ -385,15 +389,18 @@
   internal::HttpClientState* client = this->state.get();
   client->max_connections = count;
   while (!client->idle.empty() && client->busy + client->idle.size() > count) {
-    internal::CloseConnection(std::move(client->idle.back()));
+    internal::CloseConnectionLater(client->loop,
+                                   std::move(client->idle.back()));
     client->idle.pop_back();
   }
 }
 
 void HttpClient::CloseIdleConnections() {
-  while (!this->state->idle.empty()) {
-    internal::CloseConnection(std::move(this->state->idle.front()));
-    this->state->idle.pop_front();
+  internal::HttpClientState* client = this->state.get();
+  while (!client->idle.empty()) {
+    internal::CloseConnectionLater(client->loop,
+                                   std::move(client->idle.front()));
+    client->idle.pop_front();
   }
 }
 
--- a/tests/error/http_client_test.cc
+++ b/tests/error/http_client_test.cc
@@ -112,6 +112,25 @@
   RunFor(&loop, milliseconds(50));
 }
 
+// Guards against a crash when the callback of a request destroys the client:
+// h2o returns the socket to the connection after the callback.
+TEST(HttpClientErrorTest, CallbackMayDestroyItsClient) {
+  EventLoop loop;
+  const auto server = StartServer(
+      &loop, [](const HttpRequest&, const HttpResponder& responder) {
+        responder.Respond({200, {}, "x"});
+      });
+  auto client = HttpClientBuilder(&loop, server->endpoint()).Build();
+  std::vector<std::string> blocks;
+  client->Send({"GET", "/", {}, "", ""}, std::chrono::seconds(5),
+               [&](const HttpResult&) {
+                 client.reset();
+                 blocks = ReuseFreedMemory();
+               });
+  ASSERT_TRUE(RunUntil(&loop, [&] { return client == nullptr; }));
+  RunFor(&loop, milliseconds(20));
+}
+
 // Guards against a daemon that keeps more than its share of a worker's
 // connections: the total of all daemons would exceed the worker's limit.
 TEST(HttpClientErrorTest, LoweredLimitClosesConnections) {
