http client: report an immediate connect failure after Send

An entry of a worker may have an address that the kernel rejects at once, such as 255.255.255.255 or one without a route.

Cause: h2o reports such a failure before h2o_http1client_connect_with_pool returns, and the callback ran inside Send, against the documented contract. Callers then stored the id of a request that had already ended.

Change: a failure during StartCall is reported in the next iteration of the loop. Its timer replaces that of the timeout, so a cancellation and the destructor remove it as before.

Evidence: the new test failed before ("sending: actual true, expected false"), and the file passes three times under AddressSanitizer now.

--- a/packages/transport/src/http_client.cc
+++ b/packages/transport/src/http_client.cc
@@ -63,6 +63,7 @@
   h2o_http1client_t* h2o_client = nullptr;
   TimerId timeout_timer = 0;
   TimerId connect_timer = 0;
+  bool starting = false;  // True until StartCall has returned.
   bool sent = false;
   HttpResponse response;
   HttpCallback callback;
@@ -177,6 +178,14 @@
          /*reusable=*/false);
 }
 
+// Fails a call in the next iteration of the loop, in place of its timeout.
+void FailLater(Call* call, HttpErrorKind kind, const std::string& message) {
+  EventLoop* loop = call->client->loop;
+  loop->Cancel(call->timeout_timer);
+  call->timeout_timer = loop->Schedule(
+      Duration::zero(), [call, kind, message] { Fail(call, kind, message); });
+}
+
 // Cancels the request in h2o, which closes the socket, and reports `kind`.
 // Request bytes that the server has not acknowledged yet are discarded.
 void Abort(Call* call, HttpErrorKind kind, std::string message) {
@@ -264,7 +273,11 @@
   auto* call = static_cast<Call*>(h2o_client->data);
   if (error != nullptr) {
     call->h2o_client = nullptr;
-    Fail(call, HttpErrorKind::kConnectFailed, error);
+    if (call->starting) {
+      FailLater(call, HttpErrorKind::kConnectFailed, error);
+    } else {
+      Fail(call, HttpErrorKind::kConnectFailed, error);
+    }
     return nullptr;
   }
   call->client->loop->Cancel(call->connect_timer);
@@ -289,10 +302,14 @@
   return head + "\r\n";
 }
 
+// The kernel may reject a connection at once, for example if there is no route
+// to the address. h2o then calls OnConnect before this function returns.
 void StartCall(Call* call) {
+  call->starting = true;
   h2o_http1client_connect_with_pool(&call->h2o_client, call,
                                     &call->client->context,
                                     &call->connection->pool, OnConnect);
+  call->starting = false;
 }
 
 }  // namespace
--- a/tests/error/http_client_test.cc
+++ b/tests/error/http_client_test.cc
@@ -131,6 +131,26 @@
   RunFor(&loop, milliseconds(20));
 }
 
+// Guards against a callback that runs before Send has returned: the caller does
+// not know the request yet. The kernel rejects a connection to this address at
+// once, without an attempt over the network.
+TEST(HttpClientErrorTest, ImmediateConnectFailureIsReportedAfterSend) {
+  EventLoop loop;
+  const auto client = HttpClientBuilder(&loop, {"255.255.255.255", 9}).Build();
+  bool sending = true;
+  std::optional<HttpResult> result;
+  client->Send({"GET", "/", {}, "", ""}, std::chrono::seconds(5),
+               [&](HttpResult outcome) {
+                 EXPECT_FALSE(sending);
+                 result = std::move(outcome);
+               });
+  sending = false;
+  ASSERT_TRUE(RunUntil(&loop, [&] { return result.has_value(); }));
+  EXPECT_EQ(std::get<HttpError>(*result).kind, HttpErrorKind::kConnectFailed);
+  EXPECT_FALSE(std::get<HttpError>(*result).may_have_been_sent);
+  EXPECT_EQ(client->BusyConnections(), 0u);
+}
+
 // Guards against a daemon that keeps more than its share of a worker's
 // connections: the total of all daemons would exceed the worker's limit.
 TEST(HttpClientErrorTest, LoweredLimitClosesConnections) {
