Cancel the jobs of HTTP/1.1 callers that have gone

Seen by callers: a caller whose connection was reset sends its job again to another daemon 1.3 s later, or cancels it there.

Cause: h2o 2.2 does not read an HTTP/1.1 connection between a request and its response, so the OnAbort callback came only when the response was written.

Change: HttpServer::CloseAbortedConnections polls the sockets of all pending HTTP/1.1 requests once, without waiting and without consuming data, for a peer that has closed or reset the connection. It detaches such an exchange, calls OnAbort once and lets h2o close the connection: the socket is shut down and a response is passed to h2o, whose write fails. The peer gets no response, because a status would state whether the request has run. HTTP/2 connections are not checked; h2o reads them all the time. The daemon calls it every 50 ms.

Evidence: EntryDaemonErrorTest.JobOfACallerThatHasGoneIsCancelledAtOnce failed before the daemon called the check: "RunUntil(... !this->cancels.empty() ..., milliseconds(150)) Actual: false".

--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -28,6 +28,9 @@
 constexpr Duration kElectionInterval = milliseconds(50);
 constexpr Duration kHeartbeatInterval = milliseconds(200);
 constexpr milliseconds kHeartbeatTimeout{400};
+// A caller whose connection is lost sends its job to another daemon 1.3 s
+// later. By then, the runs of the first submission must have been stopped.
+constexpr Duration kAbortCheckInterval = milliseconds(50);
 // Delay before a daemon that became a partial scheduler claims the workers of
 // another scheduler. Daemons that became unreachable together are all detected
 // within this time.
@@ -417,6 +420,13 @@
                          [daemon] { HeartbeatTick(daemon); });
 }
 
+// Cancels the jobs of callers that have closed their connections.
+void AbortCheckTick(EntryDaemonState* daemon) {
+  daemon->caller_server->CloseAbortedConnections();
+  daemon->loop->Schedule(kAbortCheckInterval,
+                         [daemon] { AbortCheckTick(daemon); });
+}
+
 // ---- Election ----
 
 std::set<std::string> HomeWorkers(const EntryDaemonState& daemon) {
@@ -1013,6 +1023,7 @@
        {"core_share", daemon->settings.core_share}});
   internal::WatchStore(daemon);
   internal::HeartbeatTick(daemon);
+  internal::AbortCheckTick(daemon);
   internal::ElectionTick(daemon);
   internal::ReportSuppressed(daemon);
   return std::unique_ptr<EntryDaemon>(new EntryDaemon(std::move(state)));
--- a/packages/transport/include/sequoiapath/transport/http_server.h
+++ b/packages/transport/include/sequoiapath/transport/http_server.h
@@ -61,7 +61,9 @@
   HttpBodyStream StartStream(const HttpResponse& head) const;
 
   // Calls `callback` once if the client disconnects before Respond is called or
-  // the stream is finished. Replaces the previous callback.
+  // the stream is finished. Replaces the previous callback. On HTTP/1.1, only
+  // HttpServer::CloseAbortedConnections detects a disconnect before the
+  // response starts.
   void OnAbort(std::function<void()> callback) const;
 
  private:
@@ -95,6 +97,16 @@
   // Closes each open connection once its current requests have been answered.
   void BeginGracefulShutdown();
 
+  // Closes each HTTP/1.1 connection whose client has closed or reset it while
+  // its request is pending, and calls the request's OnAbort callback. A later
+  // Respond has no effect. Neither waits nor consumes received data. Call it
+  // periodically: h2o 2.2 does not read an HTTP/1.1 connection between a
+  // request and its response, so nothing else detects the disconnect. A client
+  // that has closed only its sending direction counts as disconnected; its
+  // connection is closed without a response. Responses that are streamed are
+  // not checked. Precondition: SIGPIPE is ignored.
+  void CloseAbortedConnections();
+
   // Returns the number of requests that have not been answered yet.
   std::size_t PendingRequests() const;
 
--- a/packages/transport/src/http_server.cc
+++ b/packages/transport/src/http_server.cc
@@ -8,17 +8,23 @@
 #include <h2o/http2.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <cstring>
+#include <unordered_set>
 #include <utility>
+#include <vector>
 
 namespace sequoiapath {
 namespace internal {
 
 constexpr int kListenBacklog = 1024;
+// h2o represents the version of HTTP as major * 0x100 + minor.
+constexpr int kHttp2Version = 0x200;
+constexpr int kStatusBadGateway = 502;
 
 struct HttpServerState;
 
@@ -40,7 +46,7 @@
 
 // One unanswered request. `request` becomes null once the request was answered
 // or its connection was closed.
-struct PendingExchange {
+struct PendingExchange : std::enable_shared_from_this<PendingExchange> {
   h2o_req_t* request = nullptr;
   HttpServerState* server = nullptr;
   std::function<void()> on_abort;
@@ -62,6 +68,9 @@
   h2o_accept_ctx_t accept_context{};
   h2o_socket_t* listener = nullptr;
   std::size_t pending_requests = 0;
+  // The pending exchanges of HTTP/1.1 connections. h2o does not read such a
+  // connection while its request is pending.
+  std::unordered_set<PendingExchange*> unread_exchanges;
 };
 
 // Keeps the exchange alive as long as h2o's request. It is allocated in the
@@ -82,6 +91,7 @@
   if (exchange->request == nullptr) return;
   exchange->request = nullptr;
   --exchange->server->pending_requests;
+  exchange->server->unread_exchanges.erase(exchange);
 }
 
 // Passes the next buffer of the body to h2o unless one is in flight.
@@ -133,6 +143,48 @@
   if (exchange->on_abort) std::exchange(exchange->on_abort, nullptr)();
 }
 
+// Returns the server's unread exchanges whose peer has closed or reset its
+// connection. Data that has arrived is no sign of that and is not consumed.
+std::vector<std::shared_ptr<PendingExchange>> FindAbortedExchanges(
+    const HttpServerState& server) {
+  std::vector<PendingExchange*> exchanges;
+  std::vector<pollfd> sockets;
+  for (PendingExchange* exchange : server.unread_exchanges) {
+    // A write of the body detects that the peer has gone.
+    if (exchange->stream != nullptr) continue;
+    h2o_conn_t* connection = exchange->request->conn;
+    const int fd =
+        h2o_socket_get_fd(connection->callbacks->get_socket(connection));
+    exchanges.push_back(exchange);
+    sockets.push_back({.fd = fd, .events = POLLRDHUP, .revents = 0});
+  }
+  std::vector<std::shared_ptr<PendingExchange>> aborted;
+  if (poll(sockets.data(), sockets.size(), 0) <= 0) return aborted;
+  for (std::size_t i = 0; i < sockets.size(); ++i) {
+    if ((sockets[i].revents & (POLLRDHUP | POLLERR | POLLHUP)) == 0) continue;
+    aborted.push_back(exchanges[i]->shared_from_this());
+  }
+  return aborted;
+}
+
+// Closes the connection of an unanswered exchange and calls `on_abort`. h2o 2.2
+// has no function that closes a connection, so its socket is shut down and h2o
+// closes the connection when it cannot write the response. A response that
+// arrived would tell a peer that closed only its sending direction whether the
+// request has run.
+void AbortExchange(PendingExchange* exchange) {
+  h2o_req_t* request = exchange->request;
+  if (request == nullptr) return;
+  DetachExchange(exchange);
+  h2o_conn_t* connection = request->conn;
+  shutdown(h2o_socket_get_fd(connection->callbacks->get_socket(connection)),
+           SHUT_RDWR);
+  request->http1_is_persistent = 0;
+  WriteHead(request, {.status = kStatusBadGateway, .headers = {}, .body = ""});
+  h2o_send_inline(request, "", 0);
+  if (exchange->on_abort) std::exchange(exchange->on_abort, nullptr)();
+}
+
 std::string RemoteAddress(h2o_req_t* request) {
   sockaddr_storage address{};
   auto* generic = reinterpret_cast<sockaddr*>(&address);
@@ -170,6 +222,9 @@
                                       DisposeExchangeReference);
   new (memory) ExchangeReference{exchange};
   ++server->pending_requests;
+  if (request->version < kHttp2Version) {
+    server->unread_exchanges.insert(exchange.get());
+  }
   server->handler(ReadRequest(request), HttpResponder(std::move(exchange)));
   return 0;
 }
@@ -295,6 +350,13 @@
   h2o_context_request_shutdown(&this->state->context);
 }
 
+void HttpServer::CloseAbortedConnections() {
+  // A callback may answer or abort further exchanges, so each is checked again.
+  for (const auto& exchange : internal::FindAbortedExchanges(*this->state)) {
+    internal::AbortExchange(exchange.get());
+  }
+}
+
 std::size_t HttpServer::PendingRequests() const {
   return this->state->pending_requests;
 }
--- a/tests/error/entry_daemon_test.cc
+++ b/tests/error/entry_daemon_test.cc
@@ -255,8 +255,8 @@
     request.headers = {{"host", "desk.example"},
                        {"x-deadline-ms", std::to_string(deadline.count())}};
     request.body = kJobBody;
-    this->caller->Send(std::move(request), seconds(5),
-                       [](const HttpResult&) {});
+    this->caller_request = this->caller->Send(std::move(request), seconds(5),
+                                              [](const HttpResult&) {});
   }
 
   EventLoop loop;
@@ -273,6 +273,7 @@
   std::unique_ptr<EntryDaemon> daemon;
   std::unique_ptr<PeerClient> client;
   std::unique_ptr<HttpClient> caller;
+  HttpRequestId caller_request = 0;
   bool daemon_schedules = false;  // According to its latest report.
   DaemonReport daemon_report;     // The latest reply to SendReport.
   std::optional<StepJobAnswer> answer;
@@ -447,6 +448,24 @@
   EXPECT_EQ(this->cancels.size(), 2U);
 }
 
+// Guards against two runs of a task at a time, and against runs of a cancelled
+// job: the daemon keeps the job of a caller whose connection was reset, and
+// submits it to the next scheduler. The caller sends the job through another
+// daemon 1.3 s later, or cancels it there.
+TEST_F(EntryDaemonErrorTest, JobOfACallerThatHasGoneIsCancelledAtOnce) {
+  this->MakePeerTheScheduler();
+  this->PostJob(seconds(4));
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return !this->submissions.empty(); }, seconds(2)));
+  RunFor(&this->loop, milliseconds(200));
+  ASSERT_TRUE(this->cancels.empty());
+  this->caller->Cancel(this->caller_request);
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return !this->cancels.empty(); },
+      milliseconds(150)));
+  EXPECT_TRUE(this->cancels[0].starts_with("vm-1/"));
+}
+
 // Guards against the end of a job that its caller has sent through another
 // daemon, when the cancel of the first daemon arrives late.
 TEST_F(EntryDaemonErrorTest, LateCancelKeepsTheJobOfAnotherDaemon) {
