Confirm a daemon's own jobs once its callers have been checked

Cause: after a suspension the scheduler would confirm its own daemon's jobs before that daemon had seen that their callers had gone. Change: the timer that closes connections of callers that have gone confirms the daemon afterwards; the election's timer no longer does.

--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -420,9 +420,11 @@
                          [daemon] { HeartbeatTick(daemon); });
 }
 
-// Cancels the jobs of callers that have closed their connections.
+// Cancels the jobs of callers that have closed their connections. After that,
+// the callers of this daemon's other jobs are known to wait.
 void AbortCheckTick(EntryDaemonState* daemon) {
   daemon->caller_server->CloseAbortedConnections();
+  daemon->service->ConfirmDaemon(OwnOrigin(*daemon), daemon->loop->Now());
   daemon->loop->Schedule(kAbortCheckInterval,
                          [daemon] { AbortCheckTick(daemon); });
 }
@@ -546,7 +548,6 @@
 }
 
 void ElectionTick(EntryDaemonState* daemon) {
-  daemon->service->ConfirmDaemon(OwnOrigin(*daemon), daemon->loop->Now());
   RunElectionNow(daemon);
   daemon->service->ReturnJobsOfUnconfirmedDaemons();
   daemon->loop->Schedule(kElectionInterval, [daemon] { ElectionTick(daemon); });
