platform: an odd entry names no worker, whatever its numbers and nesting

These were taken for workers, though, which the new tests show: - 2^64-1, 2^63 and 1e300 in slots, capacity or born. 1e300 and the like were cast to int64, which is undefined; 2^64-1 became -1, and slots 2^32 became 0, which means no limit. - negative capacity and born. - port 0, and an address with a zero byte after its host. - slots, born, seq, version or coldLeftMs missing or of another type. - 100,000 levels in a member that is not read. Nothing copies or writes such a value today; either would recurse once per level. - ids with line breaks, which added lines to the head of requests. A page with a negative storeRevision was accepted as well.

Evidence: RejectsWorkersWithMissingOrMistypedMembers, -NumbersOutOfRange, -PortsOutOfRange, RejectsDeeplyNestedWorkers, RejectsWorkersWithUnusableIds and RejectsPagesWithRevisionsOutOfRange failed before and pass now. The worker of EntryCatalogTest gets the two members it lacked, as real entries have them.

--- a/packages/transport/src/endpoint.cc
+++ b/packages/transport/src/endpoint.cc
@@ -12,6 +12,8 @@
   if (colon == std::string_view::npos) return std::nullopt;
   Endpoint endpoint;
   endpoint.address = std::string(text.substr(0, colon));
+  // inet_pton reads up to the first zero byte only.
+  if (endpoint.address.find('\0') != std::string::npos) return std::nullopt;
   in_addr parsed{};
   if (inet_pton(AF_INET, endpoint.address.c_str(), &parsed) != 1) {
     return std::nullopt;
--- a/tests/correctness/entry_catalog_test.cc
+++ b/tests/correctness/entry_catalog_test.cc
@@ -24,7 +24,8 @@
 std::string Worker(const char* state) {
   return fmt::format(
       R"({{"service":"huvo11a","address":"10.128.0.9:8080","zone":"sanjose",)"
-      R"("slots":8,"state":"{}","capacity":{{"cpu":16000,"memMb":32768}},)"
+      R"("version":"v3","coldLeftMs":0,"slots":8,"state":"{}",)"
+      R"("capacity":{{"cpu":16000,"memMb":32768}},)"
       R"("labels":["a","r1-3"],"born":5,"seq":4}})",
       state);
 }
--- a/tests/correctness/platform_adapter_test.cc
+++ b/tests/correctness/platform_adapter_test.cc
@@ -4,6 +4,9 @@
 #include <gtest/gtest.h>
 
 #include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "sequoiapath/platform/adapter.h"
 
@@ -57,6 +60,64 @@
   return HttpResponse{status, {}, body};
 }
 
+// The numbers of levels and the numbers below are far beyond what the platform
+// sends. Another writer may have left them.
+constexpr int kDeepLevels = 100'000;
+constexpr const char* kHugeNumbers[] = {"18446744073709551615",
+                                        "18446744073709551616",
+                                        "9223372036854775807",
+                                        "123456789012345678901234567890",
+                                        "1e18",
+                                        "1e300",
+                                        "1e400",
+                                        "-1e300",
+                                        "-9223372036854775808",
+                                        "-9223372036854775809",
+                                        "-1"};
+
+// Returns arrays or objects nested `levels` deep.
+std::string Nested(int levels, bool objects = false) {
+  std::string text;
+  for (int i = 0; i < levels; ++i) text += objects ? "{\"a\":" : "[";
+  text += "1";
+  text.append(static_cast<std::size_t>(levels), objects ? '}' : ']');
+  return text;
+}
+
+// Returns a worker's entry in which `member` has the JSON text `value`, or is
+// missing if `value` is empty.
+std::string WorkerEntryWith(const std::string& member = "",
+                            const std::string& value = "") {
+  std::vector<std::pair<std::string, std::string>> members = {
+      {"service", "\"huvo11a\""},
+      {"address", "\"10.128.0.9:8080\""},
+      {"zone", "\"sanjose\""},
+      {"version", "\"v3\""},
+      {"slots", "8"},
+      {"state", "\"ready\""},
+      {"coldLeftMs", "120"},
+      {"capacity", R"({"cpu":16000,"memMb":32768,"gpu":1})"},
+      {"labels", R"(["a","r1-3"])"},
+      {"born", "1733388000000"},
+      {"seq", "4"}};
+  bool replaced = member.empty();
+  std::string text;
+  for (auto& [name, content] : members) {
+    if (name == member) {
+      content = value;
+      replaced = true;
+    }
+    if (!content.empty()) text += ",\"" + name + "\":" + content;
+  }
+  if (!replaced) text += ",\"" + member + "\":" + value;
+  return "{" + text.substr(1) + "}";
+}
+
+std::variant<WorkerDescription, std::string> DecodeWorker(
+    const std::string& value, std::string_view id = "i-1") {
+  return platform::MakeKeyValueCodec().decode_worker(id, value);
+}
+
 TEST(PlatformSettingsTest, ReadsTheSettingsFile) {
   const auto result = platform::ReadSettings(kSettings);
   const auto* settings = std::get_if<EntrySettings>(&result);
@@ -245,6 +306,134 @@
   EXPECT_EQ(failure(200), KeyValueFailure::kMalformed);
 }
 
+TEST(PlatformStoreTest, DecodesAWorker) {
+  const auto decoded = DecodeWorker(WorkerEntryWith());
+  const auto* worker = std::get_if<WorkerDescription>(&decoded);
+  ASSERT_NE(worker, nullptr) << std::get<std::string>(decoded);
+  EXPECT_EQ(worker->id, "i-1");
+  EXPECT_EQ(worker->service, "huvo11a");
+  EXPECT_EQ(worker->address, "10.128.0.9:8080");
+  EXPECT_EQ(worker->data_centre, "sanjose");
+  EXPECT_EQ(worker->slots, 8U);
+  EXPECT_EQ(worker->capacity, (Resources{16000, 32768, 1}));
+  EXPECT_EQ(worker->labels, (std::vector<std::string>{"a", "r1-3"}));
+  EXPECT_EQ(worker->started_at_ms, 1'733'388'000'000);
+  EXPECT_FALSE(worker->draining);
+}
+
+// Guards against the use of an entry that another writer left: it names no
+// worker if members are missing or of another type.
+TEST(PlatformStoreTest, RejectsWorkersWithMissingOrMistypedMembers) {
+  for (const char* member : {"service", "address", "zone", "version", "slots",
+                             "state", "coldLeftMs", "capacity", "seq"}) {
+    for (const char* value : {"", "null", "true", "[]", "{}", "[[1]]"}) {
+      EXPECT_TRUE(std::holds_alternative<std::string>(
+          DecodeWorker(WorkerEntryWith(member, value))))
+          << member << " " << value;
+    }
+  }
+  for (const char* member : {"slots", "coldLeftMs", "seq", "born", "labels"}) {
+    EXPECT_TRUE(std::holds_alternative<std::string>(
+        DecodeWorker(WorkerEntryWith(member, "\"8\""))))
+        << member;
+  }
+  EXPECT_TRUE(std::holds_alternative<std::string>(
+      DecodeWorker(WorkerEntryWith("labels", "[1]"))));
+  EXPECT_TRUE(std::holds_alternative<std::string>(
+      DecodeWorker(WorkerEntryWith("state", "\"odd\""))));
+}
+
+// Guards against numbers that wrap to a usable value, or to a negative capacity
+// or an unlimited number of slots.
+TEST(PlatformStoreTest, RejectsWorkersWithNumbersOutOfRange) {
+  for (const std::string number : kHugeNumbers) {
+    for (const char* member : {"slots", "born"}) {
+      EXPECT_TRUE(std::holds_alternative<std::string>(
+          DecodeWorker(WorkerEntryWith(member, number))))
+          << member << " " << number;
+    }
+    for (const char* resource : {"cpu", "memMb", "gpu"}) {
+      auto capacity = nlohmann::json{{"cpu", 1}, {"memMb", 1}, {"gpu", 1}};
+      capacity[resource] = "X";
+      std::string text = capacity.dump();
+      text.replace(text.find("\"X\""), 3, number);
+      EXPECT_TRUE(std::holds_alternative<std::string>(
+          DecodeWorker(WorkerEntryWith("capacity", text))))
+          << resource << " " << number;
+    }
+  }
+  EXPECT_TRUE(std::holds_alternative<std::string>(
+      DecodeWorker(WorkerEntryWith("slots", "4294967296"))));
+  EXPECT_TRUE(std::holds_alternative<std::string>(
+      DecodeWorker(WorkerEntryWith("coldLeftMs", "1e400"))));
+}
+
+// Guards against connections to a port that another number was cut down to, and
+// to port 0, which no worker can listen on.
+TEST(PlatformStoreTest, RejectsWorkersWithPortsOutOfRange) {
+  for (const char* address :
+       {"10.128.0.9:0", "10.128.0.9:00", "10.128.0.9:-1", "10.128.0.9:65536",
+        "10.128.0.9:1099511627776", "10.128.0.9:18446744073709551616",
+        "10.128.0.9:http", "10.128.0.9:", "10.128.0.9", "10.128.0.9:80 ",
+        "10.128.0.9:+80", "10.128.0.9:0x50", "10.128.0.9:8e3", ":80",
+        "10.128.0.256:80", "10.128.0.9\\u0000:80", "[::1]:80"}) {
+    EXPECT_TRUE(std::holds_alternative<std::string>(DecodeWorker(
+        WorkerEntryWith("address", std::string("\"") + address + "\""))))
+        << address;
+  }
+  EXPECT_TRUE(std::holds_alternative<std::string>(
+      DecodeWorker(WorkerEntryWith("address", "8080"))));
+  EXPECT_TRUE(std::holds_alternative<WorkerDescription>(
+      DecodeWorker(WorkerEntryWith("address", "\"10.128.0.9:65535\""))));
+}
+
+// Guards against a stack overflow while a deeply nested value is read, copied
+// or freed.
+TEST(PlatformStoreTest, RejectsDeeplyNestedWorkers) {
+  for (const bool objects : {false, true}) {
+    const std::string nested = Nested(kDeepLevels, objects);
+    EXPECT_TRUE(std::holds_alternative<std::string>(DecodeWorker(nested)));
+    for (const char* member : {"note", "capacity", "labels", "slots"}) {
+      EXPECT_TRUE(std::holds_alternative<std::string>(
+          DecodeWorker(WorkerEntryWith(member, nested))))
+          << member;
+    }
+  }
+  EXPECT_TRUE(std::holds_alternative<std::string>(
+      DecodeWorker(std::string(kDeepLevels, '['))));
+  // Brackets in strings do not nest.
+  EXPECT_TRUE(std::holds_alternative<WorkerDescription>(DecodeWorker(
+      WorkerEntryWith("note", "\"\\\"" + std::string(1000, '[') + "\""))));
+}
+
+// Guards against an id that adds lines to the head of the requests to a worker.
+TEST(PlatformStoreTest, RejectsWorkersWithUnusableIds) {
+  for (const std::string_view id :
+       {std::string_view(""), std::string_view("i 1"),
+        std::string_view("i-1\r\nx-other: 1"), std::string_view("i-1\0", 4),
+        std::string_view("i\x7f")}) {
+    EXPECT_TRUE(std::holds_alternative<std::string>(
+        DecodeWorker(WorkerEntryWith(), id)))
+        << id;
+  }
+}
+
+// Guards against a list that cannot be followed, because its revision is read
+// from a number that does not fit.
+TEST(PlatformStoreTest, RejectsPagesWithRevisionsOutOfRange) {
+  const KeyValueCodec codec = platform::MakeKeyValueCodec();
+  for (const char* revision :
+       {"-1", "1e300", "18446744073709551615", "\"5\""}) {
+    const auto page = codec.decode_page(Reply(
+        200, std::string(R"({"items":[],"storeRevision":)") + revision + "}"));
+    ASSERT_TRUE(std::holds_alternative<KeyValueFailure>(page)) << revision;
+    EXPECT_EQ(std::get<KeyValueFailure>(page), KeyValueFailure::kMalformed);
+  }
+  const auto nested =
+      codec.decode_page(Reply(200, R"({"items":)" + Nested(kDeepLevels) + "}"));
+  EXPECT_TRUE(std::holds_alternative<KeyValueFailure>(nested));
+}
+
 TEST(RouteTableTest, SelectsTheLongestPrefixOfTheHost) {
   RouteTable table;
   table.version = 1;
