platform: reject reports with numbers out of range

Cause: the number of a run was read with get<uint32_t>, which takes the low 32 bits of a larger one, so that run of a report counted as run 1. A clock or birth of 1e300 was cast to int64, which is undefined, and clocks above 9.2e12 ms overflow in nanoseconds.

--- a/tests/correctness/platform_adapter_test.cc
+++ b/tests/correctness/platform_adapter_test.cc
@@ -258,6 +258,40 @@
   }
 }
 
+// Guards against a report on another run: a run number beyond 32 bits was cut
+// down to one that the scheduler knows. Also guards against a clock whose
+// conversion to nanoseconds overflows.
+TEST(PlatformWorkersTest, RejectsReportsWithNumbersOutOfRange) {
+  const WorkerCodec codec = platform::MakeWorkerCodec();
+  const auto is_invalid = [&codec](const std::string& body) {
+    const auto reply = codec.decode_renew_reply(Reply(200, body));
+    const auto* rejection = std::get_if<OrderRejection>(&reply);
+    return rejection != nullptr && *rejection == OrderRejection::kInvalid;
+  };
+  for (const std::string run : {"4294967297", "18446744073709551616", "-1"}) {
+    EXPECT_TRUE(is_invalid(R"({"clockMs":1,"running":[["a.0.0.0",)" + run +
+                           R"(]],"ended":[]})"))
+        << run;
+    EXPECT_TRUE(
+        is_invalid(R"({"clockMs":1,"running":[],"ended":[[1,"a.0.0.0",)" + run +
+                   R"(,"done",""]]})"))
+        << run;
+  }
+  for (const std::string number : kHugeNumbers) {
+    EXPECT_TRUE(
+        is_invalid(R"({"clockMs":)" + number + R"(,"running":[],"ended":[]})"))
+        << number;
+    EXPECT_TRUE(is_invalid(R"({"clockMs":1,"running":[],"ended":[],"born":)" +
+                           number + "}"))
+        << number;
+    const auto accepted =
+        codec.decode_order_reply(Reply(200, R"({"clockMs":)" + number + "}"));
+    EXPECT_EQ(std::get<OrderAccepted>(accepted).clock, WorkerTime(0)) << number;
+  }
+  EXPECT_TRUE(is_invalid(R"({"clockMs":1,"running":)" + Nested(kDeepLevels) +
+                         R"(,"ended":[]})"));
+}
+
 TEST(PlatformWorkersTest, DecodesRejections) {
   const WorkerCodec codec = platform::MakeWorkerCodec();
   const auto rejection = [&codec](int status, const char* body) {
