platform: reject jobs with numbers out of range

Cause: a step's cpu, memMb, gpu and estMs were used as they came. A negative demand adds to a worker's free capacity; large ones overflow in sums and in nanoseconds. x-deadline-ms was not limited either.

The caller's time is cut to 24 hours. Counts are clamped before the conversion, so that repeats 1e300 is still refused as not supported.

--- a/tests/correctness/platform_adapter_test.cc
+++ b/tests/correctness/platform_adapter_test.cc
@@ -187,6 +187,7 @@
        {R"({"steps":[{"count":1}]})",
         R"({"bestEffort":true,"longRunning":true,"steps":[{"count":1}]})",
         R"({"bestEffort":true,"repeats":2,"steps":[{"count":1}]})",
+        R"({"bestEffort":true,"repeats":1e300,"steps":[{"count":1}]})",
         R"({"bestEffort":true,"steps":[{"count":1,"gang":true}]})"}) {
     const auto result = codec.decode_submission(Post(body), MakeRoute());
     const auto* error = std::get_if<SubmissionError>(&result);
@@ -195,6 +196,49 @@
   }
 }
 
+// Guards against jobs whose demand adds to a worker's free capacity or whose
+// durations overflow, and against a stack overflow.
+TEST(PlatformCallersTest, RejectsNumbersOutOfRangeAndDeepNesting) {
+  const CallerCodec codec = platform::MakeCallerCodec();
+  const auto is_malformed = [&codec](const std::string& body) {
+    const auto result = codec.decode_submission(Post(body), MakeRoute());
+    const auto* error = std::get_if<SubmissionError>(&result);
+    return error != nullptr && error->malformed;
+  };
+  for (const std::string number : kHugeNumbers) {
+    for (const char* member : {"cpu", "memMb", "gpu", "estMs"}) {
+      EXPECT_TRUE(is_malformed(
+          std::string(R"({"bestEffort":true,"steps":[{"count":1,")") + member +
+          "\":" + number + "}]}"))
+          << member << " " << number;
+    }
+    EXPECT_TRUE(is_malformed(R"({"bestEffort":true,"steps":[{"count":)" +
+                             number + "}]}"))
+        << number;
+    EXPECT_TRUE(is_malformed(
+        R"({"bestEffort":true,"steps":[{"count":1},{"count":1,"after":[)" +
+        number + "]}]}"))
+        << number;
+  }
+  EXPECT_TRUE(is_malformed(Nested(kDeepLevels)));
+  EXPECT_TRUE(is_malformed(R"({"bestEffort":true,"steps":[{"count":1,"note":)" +
+                           Nested(kDeepLevels, true) + "}]}"));
+}
+
+// Guards against a time for the answer that overflows when it is added to the
+// current time.
+TEST(PlatformCallersTest, LimitsTheTimeThatACallerWaits) {
+  const CallerCodec codec = platform::MakeCallerCodec();
+  const auto timeout = [&codec](const std::string& text) {
+    HttpRequest request = Post("");
+    request.headers.push_back({"x-deadline-ms", text});
+    return codec.caller_timeout(request);
+  };
+  EXPECT_EQ(timeout("1500"), milliseconds(1500));
+  EXPECT_EQ(timeout("9223372036854775807"), std::chrono::hours(24));
+  for (const char* text : {"-1", "0", "", "x"}) EXPECT_FALSE(timeout(text));
+}
+
 TEST(PlatformCallersTest, AnswersStateWhetherTheJobRan) {
   const CallerCodec codec = platform::MakeCallerCodec();
   const auto encode = [&codec](StepJobOutcome outcome) {
