entry catalog: log an odd entry once

Cause: a record that cannot be decoded was logged at each read of the list and at each change of the record, for as long as it was there.

Change: the catalog keeps the error of each unreadable record and logs it only if it differs from that of the worker's last record. A record that is removed or readable again is forgotten.

Evidence: OddEntryIsLoggedOnce failed before (1 line more at each read). OddEntryDoesNotAffectTheOthers feeds 22 odd values beside 48 good workers, through the first list, a watch and another daemon's catalog.

--- a/packages/state/include/sequoiapath/state/entry_catalog.h
+++ b/packages/state/include/sequoiapath/state/entry_catalog.h
@@ -23,6 +23,8 @@
   std::uint64_t worker_revision = 0;  // Store revision of `workers`.
   bool workers_known = false;         // Whether a complete list was applied.
   std::map<std::string, std::string> workers;  // Encoded records, by id.
+  // The error in each record that cannot be decoded, by id.
+  std::map<std::string, std::string> unreadable;
 };
 
 // The changes that an update made to the catalog.
@@ -38,7 +40,7 @@
 
 // Applies workers' records and removals from the store. If `complete` is true,
 // also removes the workers that `page` does not list. A worker whose record
-// cannot be decoded is removed, and the error is logged.
+// cannot be decoded is removed, and the error is logged once.
 CatalogChange ApplyWorkers(EntryCatalog* catalog, const KeyValuePage& page,
                            bool complete);
 
--- a/packages/state/src/entry_catalog.cc
+++ b/packages/state/src/entry_catalog.cc
@@ -15,6 +15,17 @@
   if (catalog->workers.erase(id) > 0) change->removed.push_back(id);
 }
 
+// Logs the error in a worker's record, unless the last record of the worker had
+// the same error: another writer may write its record again and again.
+void LogUnreadable(EntryCatalog* catalog, const std::string& id,
+                   const std::string& error, std::size_t bytes) {
+  std::string& last = catalog->unreadable[id];
+  if (last == error) return;
+  last = error;
+  Log(LogLevel::kWarning, "worker_record_unreadable",
+      {{"worker", id}, {"detail", error}, {"bytes", bytes}});
+}
+
 // Applies a worker's record. Removes the worker if its record cannot be
 // decoded, because its address and resources are unknown then.
 void SetWorker(EntryCatalog* catalog, const std::string& id,
@@ -23,11 +34,11 @@
   if (known != catalog->workers.end() && known->second == value) return;
   auto decoded = catalog->codec.decode_worker(id, value);
   if (const auto* error = std::get_if<std::string>(&decoded)) {
-    Log(LogLevel::kWarning, "worker_record_unreadable",
-        {{"worker", id}, {"detail", *error}, {"bytes", value.size()}});
+    LogUnreadable(catalog, id, *error, value.size());
     RemoveWorker(catalog, id, change);
     return;
   }
+  catalog->unreadable.erase(id);
   catalog->workers[id] = value;
   change->updated.push_back(std::get<WorkerDescription>(std::move(decoded)));
 }
@@ -80,9 +91,14 @@
     internal::SetWorker(catalog, id, item.value, &change);
   }
   for (const std::string& key : page.removed) {
-    internal::RemoveWorker(catalog, internal::WorkerId(*catalog, key), &change);
+    const std::string id = internal::WorkerId(*catalog, key);
+    catalog->unreadable.erase(id);
+    internal::RemoveWorker(catalog, id, &change);
   }
   if (complete) {
+    std::erase_if(catalog->unreadable, [&listed](const auto& entry) {
+      return !listed.contains(entry.first);
+    });
     internal::RemoveUnlistedWorkers(catalog, listed, &change);
     catalog->workers_known = true;
   }
