Respect the former scheduler's leases on adopted runs

Callers could see: TWICE after a scheduler was killed.

Cause: a successor adopts a run, and the worker then stops replying. The successor counted the run as ended after the leases that it had sent itself. The lease that the killed scheduler had granted lasted up to 1 s longer, and the task started beside the run.

Change: runs on a worker that stops replying end at the earliest when every lease has ended that another scheduler granted before the worker accepted this scheduler's claim.

TaskSchedulerTest.AdoptedRunLastsAsLongAsTheFormerLease covers it.

Why it works: the token that the worker has accepted rejects later orders of the former scheduler, so no lease of it can end later.

--- a/packages/coordination/include/sequoiapath/coordination/worker_runs.h
+++ b/packages/coordination/include/sequoiapath/coordination/worker_runs.h
@@ -89,6 +89,9 @@
   TimePoint clock_received_at;            // When the latest report arrived.
   bool clock_known = false;
   WorkerTime last_lease_end{0};  // Latest lease end sent to the worker.
+  // When the leases have ended that another scheduler granted before the worker
+  // accepted this scheduler's claim.
+  TimePoint former_leases_end;
   // Start time of the worker's process, as reported by the worker. A change
   // shows that the worker was restarted.
   std::int64_t started_at_ms = 0;
@@ -148,6 +151,10 @@
 TimePoint LatestRunExpiry(const WorkerRuns& worker, const LeaseTimes& times,
                           TimePoint now);
 
+// Returns the longest time from the grant of a lease until the runs that it
+// covers have ended.
+Duration LongestLeaseTime(const LeaseTimes& times);
+
 // Returns the capacity that is not used by runs.
 Resources FreeCapacity(const WorkerRuns& worker);
 
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -835,6 +835,7 @@
   if (worker->claim != ClaimState::kClaimed) {
     worker->claim = ClaimState::kClaimed;
     worker->has_accepted_claim = true;
+    worker->former_leases_end = now + LongestLeaseTime(scheduler->times.lease);
     LogEvent(scheduler, "worker_claimed", worker->description.id, "",
              fmt::format("fence={} running={}", worker->fence,
                          report.running.size()));
--- a/packages/coordination/src/worker_runs.cc
+++ b/packages/coordination/src/worker_runs.cc
@@ -136,8 +136,17 @@
   const auto left = worker.last_lease_end - worker.clock;
   const auto longest = std::chrono::duration<double, std::milli>(
       static_cast<double>(left.count()) / (1 - times.clock_drift));
-  return worker.clock_received_at +
-         std::chrono::ceil<std::chrono::milliseconds>(longest) +
+  const TimePoint own_leases_end =
+      worker.clock_received_at +
+      std::chrono::ceil<std::chrono::milliseconds>(longest) +
+      times.expiry_margin;
+  return std::max(own_leases_end, worker.former_leases_end);
+}
+
+Duration LongestLeaseTime(const LeaseTimes& times) {
+  const std::chrono::duration<double, std::milli> longest =
+      times.lease / (1 - times.clock_drift);
+  return std::chrono::ceil<std::chrono::milliseconds>(longest) +
          times.expiry_margin;
 }
 
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -642,5 +642,36 @@
   EXPECT_TRUE(TakeUnconfirmedDaemons(&harness.scheduler, later).empty());
 }
 
+// Guards against two runs of a task at a time: a successor adopts a run, the
+// worker stops replying, and the lease that the former scheduler granted lasts
+// longer than those that the successor knows.
+TEST(TaskSchedulerTest, AdoptedRunLastsAsLongAsTheFormerLease) {
+  SchedulerHarness harness(2);
+  fakes::LeaseWorker& worker = harness.workers["w0"];
+  fakes::LeaseWorkerRun run;
+  run.never_completes = true;
+  fakes::Start(&worker,
+               {{"j1", 0, 0},
+                1,
+                "",
+                worker.now + milliseconds(950),
+                kSchedulerFence,
+                "w0"},
+               run);
+  EndScheduling(&harness.scheduler);
+  BeginScheduling(&harness.scheduler, kSchedulerFence + 1, harness.now);
+  StepJob job = Job("j1", 2);
+  job.generation = 1;
+  harness.Submit(std::move(job));
+  harness.Run(milliseconds(20));
+  ASSERT_EQ(harness.RunningOf("j1"), 2U);
+  harness.unresponsive.insert("w0");
+  harness.run_time = milliseconds(5000);
+  harness.Run(milliseconds(700));
+  EXPECT_FALSE(harness.workers["w1"].running.contains(TaskName{"j1", 0, 0}));
+  harness.Run(milliseconds(500));
+  EXPECT_TRUE(harness.workers["w1"].running.contains(TaskName{"j1", 0, 0}));
+}
+
 }  // namespace
 }  // namespace sequoiapath
