platform: an unreadable key does not hide the other items of a page

Cause: nlohmann-json refuses a whole text because of one byte in a string that is not UTF-8, or one escaped half of a surrogate pair. If another writer left such a key, every list and watch of the prefix was malformed, and the daemon asked again with the same revision for as long as the key was there.

An id with U+FFFD names no worker.

--- a/tests/correctness/platform_adapter_test.cc
+++ b/tests/correctness/platform_adapter_test.cc
@@ -512,6 +512,33 @@
   EXPECT_TRUE(std::holds_alternative<KeyValueFailure>(nested));
 }
 
+// Guards against a list that is no longer followed because one key has bytes
+// that are not UTF-8, or an escaped half of a surrogate pair. The last key must
+// be readable, because the next page begins after it.
+TEST(PlatformStoreTest, UnreadableKeyDoesNotHideTheOtherItems) {
+  const KeyValueCodec codec = platform::MakeKeyValueCodec();
+  for (const char* odd : {"\xff", "i-\xc3", "\\udcff", "\\ud800",
+                          "\\ud800\\u0041", "\\ud800\\ud800"}) {
+    const auto page = codec.decode_page(Reply(
+        200, std::string(R"({"items":[{"key":"servers/i-1","value":"YQ=="},)") +
+                 R"({"key":"servers/)" + odd +
+                 R"(","value":"YQ=="}],"storeRevision":5,"morePages":true})"));
+    const auto* decoded = std::get_if<KeyValuePage>(&page);
+    ASSERT_NE(decoded, nullptr) << odd;
+    ASSERT_EQ(decoded->items.size(), 2U) << odd;
+    EXPECT_EQ(decoded->items.back().key, "servers/i-1") << odd;
+    EXPECT_TRUE(std::holds_alternative<std::string>(
+        DecodeWorker(WorkerEntryWith(), decoded->items.front().key.substr(8))))
+        << odd;
+  }
+  const auto page = codec.decode_page(
+      Reply(200, R"({"items":[{"key":"\ud83d\ude00\"\n","value":""},)"
+                 R"({"key":"\udc00","value":""}],"storeRevision":5})"));
+  ASSERT_TRUE(std::holds_alternative<KeyValuePage>(page));
+  EXPECT_EQ(std::get<KeyValuePage>(page).items.back().key,
+            "\xF0\x9F\x98\x80\"\n");
+}
+
 TEST(RouteTableTest, SelectsTheLongestPrefixOfTheHost) {
   RouteTable table;
   table.version = 1;
