Send times of a daemon's clock without the bound of durations

Callers would see: after 48 h of a machine's uptime no daemon hears another, so each schedules alone.

Cause: the times in heartbeats and submissions were encoded as durations, and the decoder rejects durations above 48 h.

Change: times on a daemon's clock have a type of their own (DaemonTime), bounded at 100 years, below which differences fit into nanoseconds.

--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -965,8 +965,7 @@
                          TimePoint now) {
   if (job.scheduler_fence == 0) return true;
   return job.scheduler_fence == scheduler.fence &&
-         now.time_since_epoch() - job.heartbeat_sent_at <=
-             scheduler.times.max_heartbeat_age;
+         now - job.heartbeat_sent_at <= scheduler.times.max_heartbeat_age;
 }
 
 void ConfirmDaemon(TaskScheduler* scheduler, const std::string& origin,
--- a/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
@@ -4,7 +4,6 @@
 #ifndef SEQUOIAPATH_PROTOCOL_SCHEDULER_MESSAGE_H_
 #define SEQUOIAPATH_PROTOCOL_SCHEDULER_MESSAGE_H_
 
-#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -37,11 +36,11 @@
   std::string scheduler;
   // When the report was sent, on the sender's clock. Zero: the report comes
   // from a version without this field.
-  std::chrono::milliseconds sent_at{0};
+  DaemonTime sent_at;
   // Incarnation and `sent_at` of the latest report that the sender has from the
   // daemon to which it sends this one; zero if there is none.
   std::uint64_t heard_incarnation = 0;
-  std::chrono::milliseconds heard_sent_at{0};
+  DaemonTime heard_sent_at;
 };
 
 // A worker's record as the store holds it.
--- a/packages/protocol/include/sequoiapath/protocol/step_job.h
+++ b/packages/protocol/include/sequoiapath/protocol/step_job.h
@@ -12,6 +12,10 @@
 
 namespace sequoiapath {
 
+// A time on a daemon's own clock, with the resolution of its messages.
+using DaemonTime = std::chrono::time_point<std::chrono::steady_clock,
+                                           std::chrono::milliseconds>;
+
 // The resources of a worker, or the resources that a task requires.
 struct Resources {
   std::int64_t milli_cores = 0;
@@ -84,7 +88,7 @@
   std::uint64_t scheduler_fence = 0;
   // When that scheduler sent the latest heartbeat that the submitting daemon
   // has received, on the scheduler's clock.
-  std::chrono::milliseconds heartbeat_sent_at{0};
+  DaemonTime heartbeat_sent_at;
 };
 
 // Returns a lower bound of the job's run time: half of its critical path, since
--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -19,6 +19,8 @@
 // record.
 constexpr std::size_t kMaxDepth = 8;
 constexpr auto kMaxDuration = std::chrono::hours(48);
+// Differences of times below this limit fit into nanoseconds.
+constexpr auto kMaxDaemonTime = std::chrono::years(100);
 
 // The fields of each struct in encoding order. New fields must be appended, so
 // that earlier versions can ignore them.
@@ -173,6 +175,8 @@
     PackString(packer, value);
   } else if constexpr (std::is_same_v<T, Milliseconds>) {
     packer->pack(static_cast<std::int64_t>(value.count()));
+  } else if constexpr (std::is_same_v<T, DaemonTime>) {
+    Pack(packer, value.time_since_epoch());
   } else if constexpr (IsVector<T>::value) {
     packer->pack_array(static_cast<std::uint32_t>(value.size()));
     for (const auto& element : value) Pack(packer, element);
@@ -302,6 +306,18 @@
   return true;
 }
 
+// A clock counts from the start of its machine, so its times exceed
+// kMaxDuration.
+bool UnpackDaemonTime(const msgpack::object& object, DaemonTime* out) {
+  std::int64_t count = 0;
+  if (!UnpackInteger(object, &count) || count < 0 ||
+      count > Milliseconds(kMaxDaemonTime).count()) {
+    return false;
+  }
+  *out = DaemonTime(Milliseconds(count));
+  return true;
+}
+
 template <typename T>
 bool Unpack(const msgpack::object& object, T* out);
 
@@ -349,6 +365,8 @@
     return true;
   } else if constexpr (std::is_same_v<T, Milliseconds>) {
     return UnpackDuration(object, out);
+  } else if constexpr (std::is_same_v<T, DaemonTime>) {
+    return UnpackDaemonTime(object, out);
   } else if constexpr (IsVector<T>::value) {
     return UnpackVector(object, out);
   } else if constexpr (IsOptional<T>::value) {
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -143,9 +143,8 @@
 }
 
 // Returns the time on this daemon's clock, as its heartbeats name it.
-milliseconds ReportTime(const EntryDaemonState& daemon) {
-  return std::chrono::duration_cast<milliseconds>(
-      daemon.loop->Now().time_since_epoch());
+DaemonTime ReportTime(const EntryDaemonState& daemon) {
+  return std::chrono::floor<milliseconds>(daemon.loop->Now());
 }
 
 // Encodes this daemon's report for the daemon on `vm`, which may be unknown.
@@ -601,7 +600,7 @@
   const auto peer = daemon.election.peers.find(leader);
   if (peer == daemon.election.peers.end()) return;
   const DaemonReport& report = peer->second.report;
-  if (report.sent_at.count() == 0) return;
+  if (report.sent_at == DaemonTime{}) return;
   job->scheduler_fence = report.claim;
   job->heartbeat_sent_at = report.sent_at;
 }
--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -163,8 +163,7 @@
 // earlier term of this scheduler.
 void LogStaleSubmission(const SchedulerServiceState& service,
                         const StepJob& job, std::string_view origin) {
-  const Duration heartbeat_age =
-      service.loop->Now().time_since_epoch() - job.heartbeat_sent_at;
+  const Duration heartbeat_age = service.loop->Now() - job.heartbeat_sent_at;
   Log(LogLevel::kInfo, "submission_stale",
       {{"id", job.id},
        {"from", origin},
--- a/tests/fuzz/peer_message_test.cc
+++ b/tests/fuzz/peer_message_test.cc
@@ -153,6 +153,29 @@
           EncodePeerMessage(SampleHandover())};
 }
 
+// Guards against daemons that hear nobody once their machines have run for two
+// days: times on a clock are not bounded like durations.
+TEST(PeerMessageFuzz, TimesOfAMachineThatHasRunForYearsDecode) {
+  DaemonReport report;
+  report.vm = "vm-1";
+  report.endpoint = {"127.0.0.1", 1};
+  report.sent_at = DaemonTime(std::chrono::years(5));
+  report.heard_sent_at = DaemonTime(std::chrono::hours(72));
+  const auto decoded =
+      DecodePeerMessage<DaemonReport>(EncodePeerMessage(report));
+  const auto* read = std::get_if<DaemonReport>(&decoded);
+  ASSERT_NE(read, nullptr);
+  EXPECT_EQ(read->sent_at, report.sent_at);
+  EXPECT_EQ(read->heard_sent_at, report.heard_sent_at);
+  StepJob job;
+  job.id = "j1";
+  job.steps.resize(1);
+  job.steps[0].count = 1;
+  job.heartbeat_sent_at = report.sent_at;
+  EXPECT_TRUE(std::holds_alternative<StepJob>(
+      DecodePeerMessage<StepJob>(EncodePeerMessage(job))));
+}
+
 TEST(PeerMessageFuzz, RandomBytes) {
   std::mt19937 random(kSeed);
   for (int i = 0; i < 20'000; ++i) {
