Bound the lease of a run whose job was cancelled

Callers could see: TWICE after a daemon was lost.

Cause: the bound of a lease looked at the daemons of the jobs on the worker. When the jobs of a lost daemon were cancelled, their runs had no job any more and no longer counted. If the stop orders were lost, the next renewal extended the lease in full.

Change: a run keeps the daemon that it was started for, until it has ended.

--- a/packages/coordination/include/sequoiapath/coordination/worker_runs.h
+++ b/packages/coordination/include/sequoiapath/coordination/worker_runs.h
@@ -35,6 +35,9 @@
   // to this scheduler.
   bool orphan = false;
   std::chrono::milliseconds estimate{0};
+  // The daemon that submitted the run's job when the run was started or
+  // adopted; empty if it is not known.
+  std::string origin;
   // End of the lease in the start order, on the worker's clock. The worker
   // rejects a start order that arrives later.
   WorkerTime lease_end{0};
--- a/packages/coordination/src/daemon_confirmations.cc
+++ b/packages/coordination/src/daemon_confirmations.cc
@@ -6,12 +6,11 @@
 namespace sequoiapath::internal {
 namespace {
 
-// Returns when the job's daemon was last confirmed; `now` for a job without a
-// daemon.
+// Returns when the daemon was last confirmed; `now` without a daemon.
 TimePoint ConfirmationOf(const TaskScheduler& scheduler,
-                         const ScheduledJob& job, TimePoint now) {
-  if (job.origin.empty()) return now;
-  const auto found = scheduler.confirmations.find(job.origin);
+                         const std::string& origin, TimePoint now) {
+  if (origin.empty()) return now;
+  const auto found = scheduler.confirmations.find(origin);
   return found == scheduler.confirmations.end() ? TimePoint{} : found->second;
 }
 
@@ -21,9 +20,12 @@
                              const WorkerRuns& worker, TimePoint now) {
   TimePoint oldest = now;
   for (const auto& [task, run] : worker.runs) {
+    // A run whose job has been cancelled may go on until its stop arrives, so
+    // the daemon that the run was started for counts.
     const auto job = scheduler.jobs.find(task.job);
-    if (job == scheduler.jobs.end()) continue;
-    oldest = std::min(oldest, ConfirmationOf(scheduler, job->second, now));
+    const std::string& origin =
+        job == scheduler.jobs.end() ? run.origin : job->second.origin;
+    oldest = std::min(oldest, ConfirmationOf(scheduler, origin, now));
   }
   return oldest;
 }
@@ -32,7 +34,7 @@
 
 bool IsDaemonConfirmed(const TaskScheduler& scheduler, const ScheduledJob& job,
                        TimePoint now) {
-  return now - ConfirmationOf(scheduler, job, now) <=
+  return now - ConfirmationOf(scheduler, job.origin, now) <=
          scheduler.times.daemon_timeout;
 }
 
@@ -43,7 +45,7 @@
   if (!worker.clock_known) return usual;
   TimePoint oldest = OldestConfirmation(scheduler, worker, now);
   if (starting != nullptr) {
-    oldest = std::min(oldest, ConfirmationOf(scheduler, *starting, now));
+    oldest = std::min(oldest, ConfirmationOf(scheduler, starting->origin, now));
   }
   const WorkerTime limit =
       EstimateClock(worker, oldest + scheduler.times.confirmed_lease);
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -247,6 +247,7 @@
     return;
   }
   AdoptRun(worker, name, job->job.steps[name.step]);
+  run->origin = job->origin;
   if (!run->stop_in_flight && !run->stopped_at) run->stop_wanted = false;
   job->last_run = std::max(job->last_run, run->run);
   ++scheduler->counts.adopted;
@@ -613,6 +614,7 @@
   run.run = ++job->last_run;
   run.demand = step.demand;
   run.estimate = step.estimate;
+  run.origin = job->origin;
   run.lease_end = ConfirmedLeaseEnd(*scheduler, *worker, job, now);
   run.ordered_at = now;
   worker->last_lease_end = std::max(worker->last_lease_end, run.lease_end);
