Tests of the bound of a cancelled job's lease and of reports of earlier versions

The test of reports of earlier versions expected 13 fields; the report has 16 now and an array header of three bytes. It removes the four appended fields instead of one and checks the same.

--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -52,7 +52,8 @@
   Duration resubmission_wait = std::chrono::milliseconds(1800);
   // A submission is accepted if this scheduler sent the heartbeat on which it
   // is based at most this long ago. A daemon that hears no later heartbeat for
-  // this time submits its jobs to another scheduler.
+  // this time submits its jobs to another scheduler, which waits for the runs
+  // of this one for `resubmission_wait` or until all workers have reported.
   Duration max_heartbeat_age = std::chrono::milliseconds(600);
   // No task of a job starts once the daemon that submitted the job was last
   // confirmed to be alive longer ago than this.
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -99,7 +99,8 @@
   std::map<std::string, fakes::LeaseWorker> workers;
   std::set<std::string> unresponsive;  // Workers that reply to no order.
   std::set<std::string> failing;       // Workers whose tasks fail after 1 ms.
-  bool store_readable = true;          // The list of workers is current.
+  bool stops_are_lost = false;
+  bool store_readable = true;  // The list of workers is current.
   milliseconds run_time{200};
   std::map<std::string, StepJobAnswer> answers;
   TimePoint now = kStart;
@@ -129,6 +130,11 @@
   }
   void Perform(const SendStop& action) {
     if (this->unresponsive.contains(action.worker)) return;
+    if (this->stops_are_lost) {
+      RecordStopReply(&this->scheduler, action.worker, action.order,
+                      OrderUnanswered{true}, this->now);
+      return;
+    }
     RecordStopReply(&this->scheduler, action.worker, action.order,
                     fakes::Stop(this->Find(action.worker), action.order),
                     this->now);
@@ -601,6 +607,23 @@
   EXPECT_EQ(harness.RunningOf("j1"), 0U);
 }
 
+// Guards against two runs of a task at a time: the jobs of a lost daemon are
+// cancelled, the stop orders are lost, and renewals for other runs go on.
+TEST(TaskSchedulerTest, LeaseOfACancelledJobOfALostDaemonIsNotExtended) {
+  SchedulerHarness harness(2);
+  harness.run_time = milliseconds(5000);
+  StepJob job = Job("j1", 2);
+  job.remaining = milliseconds(8000);
+  job.steps[0].estimate = milliseconds(5000);
+  ConfirmDaemon(&harness.scheduler, "vm-2/7", harness.now);
+  harness.Submit(std::move(job), "vm-2/7");
+  harness.Run(milliseconds(600));
+  harness.stops_are_lost = true;
+  CancelJob(&harness.scheduler, "j1", harness.now);
+  harness.Run(milliseconds(700));
+  EXPECT_EQ(harness.RunningOf("j1"), 0U);
+}
+
 // Guards against leases that are cut short although the daemon is alive.
 TEST(TaskSchedulerTest, RunsOfAConfirmedDaemonContinue) {
   SchedulerHarness harness(2);
--- a/tests/fuzz/peer_message_test.cc
+++ b/tests/fuzz/peer_message_test.cc
@@ -117,7 +117,7 @@
 }
 
 // Guards against daemons that ignore each other during an update: the previous
-// version sends its reports without the scheduler.
+// versions send their reports without the scheduler and the times.
 TEST(PeerMessageFuzz, ReportWithoutTheAppendedFieldDecodes) {
   DaemonReport report;
   report.vm = "vm-1";
@@ -125,10 +125,14 @@
   report.incarnation = 7;
   report.store_revision = 300;
   std::string bytes = EncodePeerMessage(report);
-  ASSERT_EQ(bytes.front(), '\x9d');  // An array of 13 elements.
-  ASSERT_EQ(bytes.back(), '\xa0');   // An empty string.
-  bytes.front() = '\x9c';
-  bytes.pop_back();
+  // The header of an array of 16 elements; the last four are an empty string
+  // and three zeros.
+  const std::string header("\xdc\x00\x10", 3);
+  const std::string appended("\xa0\x00\x00\x00", 4);
+  ASSERT_TRUE(bytes.starts_with(header));
+  ASSERT_TRUE(bytes.ends_with(appended));
+  bytes.replace(0, header.size(), "\x9c");  // An array of 12 elements.
+  bytes.resize(bytes.size() - appended.size());
   const auto decoded = DecodePeerMessage<DaemonReport>(bytes);
   ASSERT_EQ(GetFailure(decoded), nullptr) << GetFailure(decoded)->detail;
   EXPECT_EQ(std::get<DaemonReport>(decoded).store_revision, 300U);
