Ignore reports that are older than the latest one

Callers could see: jobs that stop after a cut has ended, and submissions that are rejected until the next heartbeat.

Cause: TCP delivers a heartbeat of before a cut when the cut ends. It was taken for the daemon's current state, with an old scheduler and an old claim.

Change: a report is ignored if a later one of the same process is known.

--- a/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
+++ b/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
@@ -112,6 +112,10 @@
 void RecordReport(SchedulerElection* election, const DaemonReport& report,
                   TimePoint now);
 
+// Returns whether a later report of the same process of the daemon has been
+// recorded. TCP delivers an old report when a cut ends.
+bool IsOutdated(const SchedulerElection& election, const DaemonReport& report);
+
 // Records that a connection to the daemon was refused or reset, which means
 // that its process ended. `incarnation` is the one in the daemon's latest
 // report when the request was sent, zero if there was no report. The failure is
--- a/packages/coordination/src/scheduler_election.cc
+++ b/packages/coordination/src/scheduler_election.cc
@@ -294,6 +294,14 @@
       {election->self.highest_fence, report.highest_fence, report.claim});
 }
 
+bool IsOutdated(const SchedulerElection& election, const DaemonReport& report) {
+  const auto found = election.peers.find(report.vm);
+  if (found == election.peers.end()) return false;
+  const DaemonReport& latest = found->second.report;
+  return latest.incarnation == report.incarnation &&
+         report.sent_at < latest.sent_at;
+}
+
 void RecordDaemonFailure(SchedulerElection* election, const std::string& vm,
                          std::uint64_t incarnation) {
   const auto found = election->peers.find(vm);
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -306,6 +306,7 @@
 
 void OnReport(EntryDaemonState* daemon, const DaemonReport& report) {
   if (report.vm == daemon->election.self.vm) return;
+  if (IsOutdated(daemon->election, report)) return;
   RecordReport(&daemon->election, report, daemon->loop->Now());
   PeerState& peer_state = daemon->peer_states[report.vm];
   if (peer_state.incarnation != 0 &&
--- a/tests/error/entry_daemon_test.cc
+++ b/tests/error/entry_daemon_test.cc
@@ -354,6 +354,25 @@
   EXPECT_EQ(this->answer->outcome, StepJobOutcome::kNotAccepted);
 }
 
+// Guards against jobs that stop, and against submissions that are rejected,
+// after TCP has delivered an old report when a cut ended.
+TEST_F(EntryDaemonErrorTest, ReportOlderThanTheLatestIsIgnored) {
+  ASSERT_TRUE(this->WaitUntilDaemonSchedules());
+  this->peer_report.sent_at =
+      std::chrono::floor<milliseconds>(this->loop.Now());
+  this->SendReport();
+  RunFor(&this->loop, milliseconds(50));
+  this->SubmitBasedOn(this->daemon_report);
+  RunFor(&this->loop, milliseconds(50));
+  ASSERT_FALSE(this->answer);
+  DaemonReport old = this->peer_report;
+  old.sent_at -= seconds(3);
+  old.scheduler = "vm-3";
+  this->SendReport(old);
+  RunFor(&this->loop, milliseconds(100));
+  EXPECT_FALSE(this->answer);
+}
+
 // Guards against rejected submissions of daemons that hear the scheduler.
 TEST_F(EntryDaemonErrorTest, SubmissionOnACurrentHeartbeatIsAccepted) {
   ASSERT_TRUE(this->WaitUntilDaemonSchedules());
