Transport: tell a refused connection from one that times out

Callers of jobs that crash workers waited until their deadline: nothing in the scheduler could tell a crashed worker, which refuses connections, from one that is cut off. HttpErrorKind has kRefused for a connection attempt that the network rejects before its timeout, and OrderUnanswered carries it with the cause for logs.

HttpClientErrorTest.RefusedConnectionIsNoTimeout.

--- a/packages/protocol/include/sequoiapath/protocol/worker_order.h
+++ b/packages/protocol/include/sequoiapath/protocol/worker_order.h
@@ -128,6 +128,8 @@
 // sent, the worker may have executed it or may still execute it.
 struct OrderUnanswered {
   bool may_have_been_sent = true;
+  bool refused = false;    // The worker's address refused the connection.
+  const char* cause = "";  // Short name for logs.
 };
 
 struct OrderAccepted {
--- a/packages/transport/include/sequoiapath/transport/http_client.h
+++ b/packages/transport/include/sequoiapath/transport/http_client.h
@@ -26,6 +26,7 @@
 
 enum class HttpErrorKind {
   kConnectFailed,  // No connection was established; nothing was sent.
+  kRefused,        // The connection was refused; nothing was sent.
   kNoConnection,   // All connections are busy; nothing was sent.
   kTimeout,        // No complete response within the timeout.
   kClosed,         // The connection or stream failed before the response was
--- a/packages/transport/src/http_client.cc
+++ b/packages/transport/src/http_client.cc
@@ -276,7 +276,7 @@
     if (call->starting) {
       FailLater(call, HttpErrorKind::kConnectFailed, error);
     } else {
-      Fail(call, HttpErrorKind::kConnectFailed, error);
+      Fail(call, HttpErrorKind::kRefused, error);
     }
     return nullptr;
   }
@@ -322,6 +322,8 @@
   switch (kind) {
     case HttpErrorKind::kConnectFailed:
       return "connect_failed";
+    case HttpErrorKind::kRefused:
+      return "refused";
     case HttpErrorKind::kNoConnection:
       return "no_connection";
     case HttpErrorKind::kTimeout:
--- a/tests/error/http_client_test.cc
+++ b/tests/error/http_client_test.cc
@@ -151,6 +151,22 @@
   EXPECT_EQ(client->BusyConnections(), 0u);
 }
 
+// Guards against a caller that cannot tell an address where no process listens
+// from one that does not answer.
+TEST(HttpClientErrorTest, RefusedConnectionIsNoTimeout) {
+  EventLoop loop;
+  RawListener listener;
+  listener.Close();
+  const auto client = HttpClientBuilder(&loop, listener.endpoint).Build();
+  std::optional<HttpResult> result;
+  client->Send({"GET", "/", {}, "", ""}, milliseconds(500),
+               [&](HttpResult outcome) { result = std::move(outcome); });
+  ASSERT_TRUE(RunUntil(&loop, [&] { return result.has_value(); }));
+  const auto& error = std::get<HttpError>(*result);
+  EXPECT_EQ(error.kind, HttpErrorKind::kRefused);
+  EXPECT_FALSE(error.may_have_been_sent);
+}
+
 // Guards against a daemon that keeps more than its share of a worker's
 // connections: the total of all daemons would exceed the worker's limit.
 TEST(HttpClientErrorTest, LoweredLimitClosesConnections) {
