Coordination: a history of the crashes of workers under tasks

The count of crashes under a task has to outlive the scheduler, the job's daemon and the caller's second attempt. CrashHistory keeps, by task, the crashed processes (worker id and start time), so that records of several daemons merge in any order. A task is given up after two crashes if it ran alone during one of them, else after three: with two, the random test of the scheduler found healthy tasks that were given up, because the first crash was noticed only after their second start.

TaskCrashes is the peer message.

--- /dev/null
+++ b/packages/coordination/src/crash_history.cc
@@ -0,0 +1,107 @@
+#include "sequoiapath/coordination/crash_history.h"
+
+#include <algorithm>
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+std::pair<std::string, std::int64_t> CrashedProcess(const TaskCrash& crash) {
+  return {crash.worker, crash.started_at_ms};
+}
+
+void RemoveFromTask(CrashHistory* history, const TaskCrash& crash) {
+  const auto found = history->by_task.find(crash.task);
+  if (found == history->by_task.end()) return;
+  found->second.erase(CrashedProcess(crash));
+  if (found->second.empty()) history->by_task.erase(found);
+}
+
+void RemoveFirst(CrashHistory* history) {
+  RemoveFromTask(history, history->records.front().crash);
+  history->records.pop_front();
+}
+
+}  // namespace
+}  // namespace internal
+
+bool AddCrash(CrashHistory* history, const TaskCrash& crash,
+              std::string_view learned_from, TimePoint now) {
+  if (crash.age > history->max_age) return false;
+  const bool added = history->by_task[crash.task]
+                         .emplace(internal::CrashedProcess(crash), crash.alone)
+                         .second;
+  if (!added) return false;
+  history->records.push_back({++history->last_sequence, now - crash.age,
+                              std::string(learned_from), crash});
+  if (history->records.size() > history->max_records) {
+    internal::RemoveFirst(history);
+  }
+  return true;
+}
+
+void WithdrawCrash(CrashHistory* history, const std::string& worker,
+                   std::int64_t started_at_ms) {
+  std::erase_if(history->records, [&](const CrashRecord& record) {
+    const TaskCrash& crash = record.crash;
+    if (crash.worker != worker || crash.started_at_ms != started_at_ms) {
+      return false;
+    }
+    internal::RemoveFromTask(history, crash);
+    return true;
+  });
+}
+
+std::size_t CrashCount(const CrashHistory& history, const TaskName& task) {
+  const auto found = history.by_task.find(task);
+  return found == history.by_task.end() ? 0 : found->second.size();
+}
+
+bool HasCrashes(const CrashHistory& history, const std::string& job) {
+  const auto first = history.by_task.lower_bound(TaskName{job, 0, 0});
+  return first != history.by_task.end() && first->first.job == job;
+}
+
+const TaskName* FindTaskToGiveUp(const CrashHistory& history,
+                                 const std::string& job) {
+  for (auto it = history.by_task.lower_bound(TaskName{job, 0, 0});
+       it != history.by_task.end() && it->first.job == job; ++it) {
+    const bool alone =
+        std::any_of(it->second.begin(), it->second.end(),
+                    [](const auto& process) { return process.second; });
+    const std::size_t limit = alone ? kCrashesToGiveUp : kSharedCrashesToGiveUp;
+    if (it->second.size() >= limit) return &it->first;
+  }
+  return nullptr;
+}
+
+std::vector<TaskCrash> CrashesAfter(const CrashHistory& history,
+                                    std::uint64_t* sequence,
+                                    std::string_view receiver,
+                                    std::size_t max_count, TimePoint now) {
+  std::vector<TaskCrash> crashes;
+  const auto first = std::partition_point(
+      history.records.begin(), history.records.end(),
+      [sequence](const CrashRecord& r) { return r.sequence <= *sequence; });
+  for (auto it = first;
+       it != history.records.end() && crashes.size() < max_count; ++it) {
+    *sequence = it->sequence;
+    if (it->learned_from == receiver) continue;
+    TaskCrash crash = it->crash;
+    crash.age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - it->crashed);
+    crashes.push_back(std::move(crash));
+  }
+  return crashes;
+}
+
+void RemoveOldCrashes(CrashHistory* history, TimePoint now) {
+  // Records that arrived late from another daemon may stand behind younger
+  // ones; they are removed with these.
+  while (!history->records.empty() &&
+         now - history->records.front().crashed > history->max_age) {
+    internal::RemoveFirst(history);
+  }
+}
+
+}  // namespace sequoiapath
--- a/packages/protocol/include/sequoiapath/protocol/peer_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/peer_message.h
@@ -391,7 +391,8 @@
   X(StepJobAnswer) \
   X(CatalogRequest) \
   X(CatalogSnapshot) \
-  X(CancelStepJob)
+  X(CancelStepJob) \
+  X(TaskCrashes)
 // clang-format on
 
 // Returns the MessagePack form: an array of the fields in declaration order.
--- a/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
@@ -4,6 +4,7 @@
 #ifndef SEQUOIAPATH_PROTOCOL_SCHEDULER_MESSAGE_H_
 #define SEQUOIAPATH_PROTOCOL_SCHEDULER_MESSAGE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -68,6 +69,22 @@
   std::string job;
 };
 
+// The crash of a worker's process under one of the tasks that ran on it.
+struct TaskCrash {
+  TaskName task;
+  std::string worker;
+  std::int64_t started_at_ms = 0;  // Unix time of the crashed process's start.
+  // Time since a scheduler noticed the crash.
+  std::chrono::milliseconds age{0};
+  bool alone = false;  // No other task ran on the worker.
+};
+
+// Crashes that the receiver merges into its history.
+struct TaskCrashes {
+  std::string origin;  // Names the sender's process.
+  std::vector<TaskCrash> crashes;
+};
+
 }  // namespace sequoiapath
 
 #endif  // SEQUOIAPATH_PROTOCOL_SCHEDULER_MESSAGE_H_
--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -96,6 +96,9 @@
 SEQUOIAPATH_FIELDS(CatalogSnapshot, m.revision, m.config_version, m.config,
                    m.workers)
 SEQUOIAPATH_FIELDS(CancelStepJob, m.job)
+SEQUOIAPATH_FIELDS(TaskName, m.job, m.step, m.index)
+SEQUOIAPATH_FIELDS(TaskCrash, m.task, m.worker, m.started_at_ms, m.age, m.alone)
+SEQUOIAPATH_FIELDS(TaskCrashes, m.origin, m.crashes)
 #undef SEQUOIAPATH_FIELDS
 
 // Number of leading fields that an encoded struct must have. The other fields
@@ -231,6 +234,9 @@
   }
   return !value.id.empty() && !value.steps.empty();
 }
+bool IsValid(const TaskCrash& value) {
+  return !value.task.job.empty() && !value.worker.empty();
+}
 bool IsValid(const Demand& value) {
   // The comparison also rejects NaN.
   return value.cores >= 0 && value.memory_mb >= 0 && value.accelerators >= 0;
