Scheduler: charge crashes of workers, run suspects alone, give up

What callers saw: jobs with a task that crashes workers were held until their deadlines, and up to a third of the workers were down.

Cause: nothing recorded that a worker was lost under a task, so its next run started beside others.

Change: a crash is charged to every task that ran on the worker, once a new process answers under its id or address, and presumed after two refusals in a row if few other workers became unreachable with it; if the same process answers later, it is withdrawn. Runs still end with their leases, since a live worker behind a cut refuses connections too. A task with a crash runs alone, at most four such runs at a time and none while a quarter of the workers is unavailable. Its job is answered kFailed (crashes_workers) once it is given up, also when it is submitted again.

Evidence: WorkerCrashesTest and CrashingTaskFuzz.

--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -19,11 +19,13 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <unordered_map>
 #include <variant>
 #include <vector>
 
+#include "sequoiapath/coordination/crash_history.h"
 #include "sequoiapath/coordination/worker_health.h"
 #include "sequoiapath/coordination/worker_runs.h"
 #include "sequoiapath/protocol/step_job.h"
@@ -138,6 +140,8 @@
   TimePoint expires;    // When the caller stops waiting.
   TimePoint objective;  // Latest end that meets the response-time objective.
   std::uint32_t last_run = 0;  // Highest run number of its tasks.
+  // Workers have crashed under tasks of the job.
+  bool has_crashes = false;
   // This scheduler has started a task of the job, or a former one may have.
   bool any_started = false;
   TimePoint submitted;  // When this scheduler received the job.
@@ -208,6 +212,9 @@
   // All workers that the store listed at this time have been added.
   TimePoint workers_listed_at;
   WorkerHealth health;
+  CrashHistory crashes;  // Kept while this daemon does not schedule.
+  // Jobs with crashes that have not been applied to them yet.
+  std::set<std::string> jobs_with_new_crashes;
   std::unordered_map<std::string, ScheduledJob> jobs;
   // By daemon: the latest time at which it was known to be alive.
   std::unordered_map<std::string, TimePoint> confirmations;
@@ -317,6 +324,12 @@
                         const RenewOrder& order, const RenewReply& reply,
                         TimePoint now);
 
+// Adds crashes that another daemon's process `sender` has reported. The next
+// RunScheduler applies them to the jobs.
+void MergeCrashes(TaskScheduler* scheduler,
+                  const std::vector<TaskCrash>& crashes,
+                  std::string_view sender, TimePoint now);
+
 // Places waiting tasks, extends leases, stops overdue runs and answers expired
 // jobs. Call it after each batch of events and about every 20 ms. Workers
 // without an event are processed at most once per 10 ms.
--- a/packages/coordination/include/sequoiapath/coordination/worker_runs.h
+++ b/packages/coordination/include/sequoiapath/coordination/worker_runs.h
@@ -34,6 +34,9 @@
   // True for a run that an earlier scheduler started and whose job is not known
   // to this scheduler.
   bool orphan = false;
+  // No other task may start on the worker beside this run, because a worker has
+  // crashed under the task.
+  bool alone = false;
   std::chrono::milliseconds estimate{0};
   // The daemon that submitted the run's job when the run was started or
   // adopted; empty if it is not known.
@@ -108,6 +111,14 @@
   // Set when the worker stops answering or is claimed by another scheduler or
   // replaced. By then every lease has expired, so its runs count as ended.
   std::optional<TimePoint> latest_run_expiry;
+  // Tasks whose runs count as ended because the worker stopped answering. If it
+  // has crashed, the crash is charged to them as well.
+  std::vector<TaskName> unanswered_tasks;
+  TimePoint unreachable_since;  // Set if `unanswered_renewals` is not zero.
+  // Number of the latest renewals in a row whose connection was refused.
+  std::uint32_t refused_renewals = 0;
+  // A crash that is only inferred from refused connections has been charged.
+  bool crash_presumed = false;
   // Smoothed ratio of the estimated run time to the actual run time.
   double speed = 1;
   TimePoint slow_until;
--- a/packages/coordination/src/task_placement.cc
+++ b/packages/coordination/src/task_placement.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "worker_crashes.h"
+
 namespace sequoiapath {
 namespace internal {
 namespace {
@@ -59,8 +61,11 @@
   return count;
 }
 
+// Returns whether the task may start on the worker now. A suspect needs a
+// worker without runs.
 bool CanAccept(const WorkerRuns& worker, const JobStep& step,
-               const TaskName& task) {
+               const TaskName& task, bool suspect) {
+  if (suspect ? !worker.runs.empty() : RunsSuspect(worker)) return false;
   if (!Fits(step.demand, FreeCapacity(worker))) return false;
   const std::uint32_t slots = worker.description.slots;
   if (slots > 0 && worker.runs.size() >= slots) return false;
@@ -107,6 +112,26 @@
   }
 }
 
+// Keeps the candidate with the fewest runs that could run a suspect free of
+// further tasks in this pass, so that it soon has no runs.
+void ReserveWorker(PlacementView* view, const StepJob& job,
+                   const JobStep& step) {
+  PlacementCandidate* fewest = nullptr;
+  for (PlacementCandidate& candidate : view->candidates) {
+    const WorkerRuns& worker = *candidate.worker;
+    if (candidate.free_milli_cores == 0 || !IsAllowed(worker, job, step) ||
+        !Fits(step.demand, worker.description.capacity)) {
+      continue;
+    }
+    if (fewest == nullptr || worker.runs.size() < fewest->worker->runs.size()) {
+      fewest = &candidate;
+    }
+  }
+  if (fewest == nullptr) return;
+  fewest->free_milli_cores = 0;
+  UpdateLargestFreeMilliCores(view);
+}
+
 }  // namespace
 
 bool CanEverRun(const TaskScheduler& scheduler, const StepJob& job) {
@@ -134,6 +159,8 @@
                              std::int64_t smallest_demand, TimePoint now) {
   PlacementView view;
   for (WorkerRuns* worker : scheduler.worker_list) {
+    CountWorker(*worker, &view.suspects);
+    if (RunsSuspect(*worker)) continue;
     const std::int64_t free_milli_cores = FreeCapacity(*worker).milli_cores;
     if (free_milli_cores < smallest_demand ||
         !IsUsable(scheduler, *worker, now)) {
@@ -153,12 +180,14 @@
                          TimePoint now) {
   const JobStep& step = job.job.steps[task.step];
   const ScheduledTask& state = job.steps[task.step].tasks[task.index];
+  const bool suspect = job.has_crashes && IsSuspect(scheduler, task);
   PlacementCandidate* best = nullptr;
   double lowest_cost = std::numeric_limits<double>::max();
   for (PlacementCandidate& candidate : view->candidates) {
     if (candidate.free_milli_cores < step.demand.milli_cores) continue;
     const double cost = PlacementCost(candidate, step, state);
-    if (cost >= lowest_cost || !CanAccept(*candidate.worker, step, task) ||
+    if (cost >= lowest_cost ||
+        !CanAccept(*candidate.worker, step, task, suspect) ||
         !IsAllowed(*candidate.worker, job.job, step) ||
         !IsHealthy(scheduler, &candidate, now)) {
       continue;
@@ -166,7 +195,11 @@
     best = &candidate;
     lowest_cost = cost;
   }
-  if (best == nullptr) return nullptr;
+  if (best == nullptr) {
+    if (suspect) ReserveWorker(view, job.job, step);
+    return nullptr;
+  }
+  if (suspect) ++view->suspects.runs;
   best->free_milli_cores -= step.demand.milli_cores;
   // The worker may be ejected and the placed task its trial, which makes it
   // ineligible for another task. Its health is therefore checked again for the
--- a/packages/coordination/src/task_placement.h
+++ b/packages/coordination/src/task_placement.h
@@ -29,11 +29,19 @@
   std::optional<bool> healthy;  // Empty until the first check.
 };
 
+// How many more suspects may start in one placement pass.
+struct SuspectLimit {
+  std::size_t workers = 0;      // Workers that are listed.
+  std::size_t unavailable = 0;  // Workers that do not answer.
+  std::size_t runs = 0;         // Runs of suspects.
+};
+
 // The workers that may get tasks in one placement pass, with the capacity left
 // by the placements of this pass.
 struct PlacementView {
   std::vector<PlacementCandidate> candidates;
   std::int64_t largest_free_milli_cores = 0;  // Of the candidates.
+  SuspectLimit suspects;
 };
 
 // Returns the workers that new tasks may start on and that have at least
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -11,6 +11,7 @@
 #include "scheduler_log.h"
 #include "sequoiapath/coordination/scheduler_election.h"
 #include "task_placement.h"
+#include "worker_crashes.h"
 
 namespace sequoiapath {
 namespace internal {
@@ -156,6 +157,25 @@
   UpdateQueue(scheduler, job);
 }
 
+// Answers a job with a task that has crashed too many workers.
+void GiveUpJob(TaskScheduler* scheduler, ScheduledJob* job, TimePoint now) {
+  FinishJob(scheduler, job,
+            {StepJobOutcome::kFailed, kCrashesWorkers, milliseconds(0)}, now);
+}
+
+// Applies new crashes to the jobs whose tasks they are charged to.
+void ApplyNewCrashes(TaskScheduler* scheduler, TimePoint now) {
+  for (const std::string& id :
+       std::exchange(scheduler->jobs_with_new_crashes, {})) {
+    ScheduledJob* job = FindJob(scheduler, id);
+    if (job == nullptr) continue;
+    job->has_crashes = true;
+    if (FindTaskToGiveUp(scheduler->crashes, id) != nullptr) {
+      GiveUpJob(scheduler, job, now);
+    }
+  }
+}
+
 void CountFailure(TaskScheduler* scheduler, ScheduledJob* job,
                   const TaskName& name, TimePoint now) {
   ScheduledTask* task = FindTask(job, name);
@@ -248,6 +268,7 @@
   }
   AdoptRun(worker, name, job->job.steps[name.step]);
   run->origin = job->origin;
+  run->alone = IsSuspect(*scheduler, name);
   if (!run->stop_in_flight && !run->stopped_at) run->stop_wanted = false;
   job->last_run = std::max(job->last_run, run->run);
   ++scheduler->counts.adopted;
@@ -348,6 +369,8 @@
   LogEvent(scheduler, "worker_replaced", worker->description.id, "",
            fmt::format("address={} runs={}", worker->description.address,
                        worker->runs.size()));
+  ChargeIfNotDraining(scheduler, *worker, now);
+  worker->unanswered_tasks.clear();
   worker->replaced = true;
   worker->claim = ClaimState::kUnclaimed;
   worker->latest_run_expiry = now;
@@ -463,7 +486,9 @@
 
 void ProcessWorker(TaskScheduler* scheduler, WorkerRuns* worker,
                    TimePoint now) {
-  ApplyEnds(scheduler, worker, EndExpiredRuns(worker, now), now);
+  const std::vector<EndedRun> expired = EndExpiredRuns(worker, now);
+  KeepUnansweredRuns(worker, expired);
+  ApplyEnds(scheduler, worker, expired, now);
   StopOrphans(scheduler, worker, now);
   StopOverdueRuns(scheduler, worker, now);
   SendStopOrders(scheduler, worker);
@@ -569,6 +594,7 @@
                    scheduler->next_sequence++};
   scheduled.last_run = job.generation * kRunsPerGeneration;
   scheduled.submitted = now;
+  scheduled.has_crashes = HasCrashes(scheduler->crashes, job.id);
   if (job.generation > 0) AwaitFormerRuns(scheduler, &scheduled, now);
   scheduled.job = std::move(job);
   InitializeSteps(&scheduled);
@@ -616,6 +642,7 @@
   run.estimate = step.estimate;
   run.origin = job->origin;
   run.lease_end = ConfirmedLeaseEnd(*scheduler, *worker, job, now);
+  run.alone = IsSuspect(*scheduler, name);
   run.ordered_at = now;
   worker->last_lease_end = std::max(worker->last_lease_end, run.lease_end);
   scheduler->actions.push_back(
@@ -635,6 +662,7 @@
   for (std::uint32_t i = 0; i < step.tasks.size() && step.waiting > 0; ++i) {
     if (step.tasks[i].state != TaskState::kWaiting) continue;
     const TaskName name{job->job.id, step_index, i};
+    if (!MayStartNow(*scheduler, *job, name, view->suspects)) continue;
     WorkerRuns* worker = ChooseWorker(*scheduler, view, *job, name, now);
     if (worker == nullptr) return;
     StartTask(scheduler, job, name, worker, now);
@@ -670,6 +698,10 @@
     jobs.reserve(scheduler->queue.size());
     for (const auto& [key, job] : scheduler->queue) jobs.push_back(job);
   }
+  // Suspects come first, because they need workers without runs.
+  std::stable_partition(jobs.begin(), jobs.end(), [](const ScheduledJob* job) {
+    return job->has_crashes;
+  });
   for (ScheduledJob* job : jobs) {
     if (view.largest_free_milli_cores < scheduler->smallest_demand) return;
     if (!IsDaemonConfirmed(*scheduler, *job, now)) continue;
@@ -810,12 +842,14 @@
 }
 
 void ApplyUnansweredRenewal(TaskScheduler* scheduler, WorkerRuns* worker,
-                            TimePoint now) {
+                            const OrderUnanswered& unanswered, TimePoint now) {
   ++scheduler->counts.renewals_unanswered;
   if (worker->unanswered_renewals++ == 0) {
-    LogEvent(scheduler, "worker_unreachable", worker->description.id, "",
-             fmt::format("runs={}", worker->runs.size()));
+    LogEvent(
+        scheduler, "worker_unreachable", worker->description.id, "",
+        fmt::format("runs={} cause={}", worker->runs.size(), unanswered.cause));
   }
+  ObserveUnansweredRenewal(scheduler, worker, unanswered.refused, now);
   worker->next_renewal =
       now + std::min<Duration>(scheduler->times.renewal_retry_delay *
                                    worker->unanswered_renewals,
@@ -833,6 +867,7 @@
              fmt::format("unanswered={} running={}",
                          worker->unanswered_renewals, report.running.size()));
   }
+  SettleCrash(scheduler, worker, report.started_at_ms, now);
   worker->unanswered_renewals = 0;
   if (worker->claim != ClaimState::kClaimed) {
     worker->claim = ClaimState::kClaimed;
@@ -1007,6 +1042,13 @@
     return;
   }
   ++scheduler->counts.jobs;
+  if (FindTaskToGiveUp(scheduler->crashes, id) != nullptr) {
+    scheduler->actions.push_back(
+        AnswerJob{id,
+                  {StepJobOutcome::kFailed, internal::kCrashesWorkers,
+                   internal::milliseconds(0)}});
+    return;
+  }
   if (job.generation == 0) {
     auto refusal = internal::CheckAdmission(*scheduler, job, now);
     if (refusal) {
@@ -1091,12 +1133,26 @@
              *rejection == OrderRejection::kOtherWorker) {
     internal::DropReplacedWorker(scheduler, runs, now);
   } else {
-    internal::ApplyUnansweredRenewal(scheduler, runs, now);
+    const auto* unanswered = std::get_if<OrderUnanswered>(&reply);
+    internal::ApplyUnansweredRenewal(
+        scheduler, runs,
+        unanswered == nullptr ? OrderUnanswered{} : *unanswered, now);
+  }
+}
+
+void MergeCrashes(TaskScheduler* scheduler,
+                  const std::vector<TaskCrash>& crashes,
+                  std::string_view sender, TimePoint now) {
+  for (const TaskCrash& crash : crashes) {
+    if (!AddCrash(&scheduler->crashes, crash, sender, now)) continue;
+    scheduler->jobs_with_new_crashes.insert(crash.task.job);
   }
+  RemoveOldCrashes(&scheduler->crashes, now);
 }
 
 void RunScheduler(TaskScheduler* scheduler, TimePoint now) {
   if (scheduler->fence == 0) return;
+  internal::ApplyNewCrashes(scheduler, now);
   if (now >= scheduler->next_sweep) {
     scheduler->next_sweep = now + internal::kSweepInterval;
     internal::Sweep(scheduler, now);
@@ -1106,6 +1162,7 @@
     scheduler->next_cleanup = now + internal::kCleanupInterval;
     internal::RemoveUnlistedWorkers(scheduler, now);
     internal::RemoveOldAnswers(scheduler, now);
+    RemoveOldCrashes(&scheduler->crashes, now);
     scheduler->placement_needed = true;
   }
   if (!std::exchange(scheduler->placement_needed, false)) return;
