Daemon: send the history of crashes to the other daemons

The history of a scheduler was lost with it. The scheduler sends new records to every daemon that it reaches, and the others send theirs to the scheduler; a message is repeated with the heartbeats until it has been answered. A daemon that starts again gets the whole history, since the progress is kept by process.

--- a/packages/state/include/sequoiapath/state/scheduler_service.h
+++ b/packages/state/include/sequoiapath/state/scheduler_service.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "sequoiapath/coordination/task_scheduler.h"
+#include "sequoiapath/protocol/scheduler_message.h"
 #include "sequoiapath/protocol/step_job.h"
 #include "sequoiapath/protocol/worker_order.h"
 #include "sequoiapath/transport/event_loop.h"
@@ -90,6 +91,13 @@
   // since it reported the other one submits them again on this answer.
   void ReturnJobsOf(std::string_view origin);
 
+  // Sets the function that is called when the history of crashes has new
+  // records.
+  void OnNewCrashes(std::function<void()> callback);
+
+  // Merges crashes that another daemon has reported into the history.
+  void MergeCrashes(const TaskCrashes& crashes);
+
   // Returns the scheduler's state, for metrics and status.
   const TaskScheduler& scheduler() const;
 
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "crash_spread.h"
 #include "entry_metrics.h"
 #include "sequoiapath/coordination/scheduler_election.h"
 #include "sequoiapath/protocol/peer_message.h"
@@ -106,6 +107,7 @@
   std::unique_ptr<SchedulerService> service;
   std::unique_ptr<JobGateway> gateway;
   std::unique_ptr<KeyValueClient> store;
+  CrashSpread crash_spread;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> ready_server;
   std::unique_ptr<HttpServer> peer_server;
@@ -416,6 +418,7 @@
 void HeartbeatTick(EntryDaemonState* daemon) {
   QuerySeeds(daemon);
   SendHeartbeats(daemon);
+  SendCrashes(&daemon->crash_spread);
   daemon->loop->Schedule(kHeartbeatInterval,
                          [daemon] { HeartbeatTick(daemon); });
 }
@@ -716,6 +719,36 @@
               }};
 }
 
+// ---- Crashes of workers ----
+
+// Returns the daemons that have to get this daemon's history of crashes: all
+// reachable ones if it schedules, else the scheduler.
+std::vector<CrashReceiver> CrashReceivers(const EntryDaemonState& daemon) {
+  const SchedulerElection& election = daemon.election;
+  std::vector<CrashReceiver> receivers;
+  for (const auto& [vm, peer] : election.peers) {
+    if (election.self.claim == 0 && vm != election.leader) continue;
+    if (!IsReachable(election, vm, daemon.loop->Now())) continue;
+    receivers.push_back(
+        {MakeOrigin(vm, peer.report.incarnation), peer.report.endpoint});
+  }
+  return receivers;
+}
+
+void InitializeCrashSpread(EntryDaemonState* daemon) {
+  daemon->crash_spread = {
+      .loop = daemon->loop,
+      .peers = daemon->peers.get(),
+      .own_origin = OwnOrigin(*daemon),
+      .history = [daemon]() -> const CrashHistory& {
+        return daemon->service->scheduler().crashes;
+      },
+      .receivers = [daemon] { return CrashReceivers(*daemon); },
+      .progress = {}};
+  daemon->service->OnNewCrashes(
+      [daemon] { SendCrashes(&daemon->crash_spread); });
+}
+
 // ---- Servers ----
 
 HttpResponse MakeOkResponse(std::string body) {
@@ -786,6 +819,18 @@
   responder.Respond(MakeOkResponse(""));
 }
 
+void HandleCrashes(EntryDaemonState* daemon, const HttpRequest& request,
+                   const HttpResponder& responder) {
+  auto crashes = DecodePeerMessage<TaskCrashes>(request.body);
+  const auto* decoded = std::get_if<TaskCrashes>(&crashes);
+  if (decoded == nullptr) {
+    RespondStatus(responder, kStatusBadRequest);
+    return;
+  }
+  daemon->service->MergeCrashes(*decoded);
+  responder.Respond(MakeOkResponse(""));
+}
+
 void HandlePeer(EntryDaemonState* daemon, const HttpRequest& request,
                 const HttpResponder& responder) {
   if (request.path == kReportPath) {
@@ -794,6 +839,8 @@
     HandleSubmit(daemon, request, responder);
   } else if (request.path == kCancelPath) {
     HandleCancel(daemon, request, responder);
+  } else if (request.path == kCrashesPath) {
+    HandleCrashes(daemon, request, responder);
   } else if (request.path == kCatalogPath) {
     responder.Respond(MakeOkResponse(
         EncodePeerMessage(MakeCatalogSnapshot(daemon->catalog))));
@@ -1016,6 +1063,7 @@
   daemon->store = KeyValueClientBuilder(this->loop, daemon->settings.store,
                                         this->codecs.store)
                       .Build();
+  internal::InitializeCrashSpread(daemon);
   if (auto error = internal::ListenAll(daemon)) return *std::move(error);
   Log(LogLevel::kInfo, "started",
       {{"vm", daemon->settings.vm},
--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -44,6 +44,8 @@
   TaskScheduler scheduler;
   std::map<std::string, std::shared_ptr<WorkerClient>> clients;
   std::unordered_map<std::string, AnswerWaiter> waiters;  // By job.
+  std::function<void()> on_new_crashes;
+  std::uint64_t last_crash = 0;  // Sequence number at the last such call.
   bool run_scheduled = false;
 };
 
@@ -117,6 +119,9 @@
 void RunScheduler(SchedulerServiceState* service) {
   RunScheduler(&service->scheduler, service->loop->Now());
   ExecuteActions(service);
+  const std::uint64_t last_crash = service->scheduler.crashes.last_sequence;
+  if (std::exchange(service->last_crash, last_crash) == last_crash) return;
+  if (service->on_new_crashes) service->on_new_crashes();
 }
 
 // Runs the scheduler in the next iteration of the event loop, once for all
@@ -318,6 +323,16 @@
                        "daemon_follows_other_scheduler");
 }
 
+void SchedulerService::OnNewCrashes(std::function<void()> callback) {
+  this->state->on_new_crashes = std::move(callback);
+}
+
+void SchedulerService::MergeCrashes(const TaskCrashes& crashes) {
+  sequoiapath::MergeCrashes(&this->state->scheduler, crashes.crashes,
+                            crashes.origin, this->state->loop->Now());
+  internal::ScheduleSchedulerRun(this->state.get());
+}
+
 const TaskScheduler& SchedulerService::scheduler() const {
   return this->state->scheduler;
 }
