Follow a worker's capacity in its reports

Seen by callers: none so far; workers whose capacity shrinks while they run are new. A worker that does not enforce its capacity would be brought over it while the store is unavailable, or by a successor with an outdated record.

Cause: the capacity came from the worker's record in the store only.

Change: a reply to a renewal may contain `capacity`, and a record `clockMs`. CurrentCapacity takes the newer one of record and report by the worker's clock and start time; the smaller amount of each resource if their order is unknown. A report of the present process outweighs a record of a former one. Placement, admission and the expected wait use it. Runs that are being stopped keep their resources as before, so the free capacity may be negative, and nothing fits.

--- a/packages/coordination/include/sequoiapath/coordination/worker_runs.h
+++ b/packages/coordination/include/sequoiapath/coordination/worker_runs.h
@@ -65,6 +65,12 @@
 // Returns a short name for logs. Thread-safe.
 const char* ToString(ClaimState state);
 
+// The capacity in a worker's report.
+struct ReportedCapacity {
+  Resources capacity;
+  WorkerTime clock{0};  // In that report.
+};
+
 struct WorkerRuns {
   WorkerDescription description;
   ClaimState claim = ClaimState::kUnclaimed;
@@ -101,6 +107,8 @@
   // Start time of the worker's process, as reported by the worker. A change
   // shows that the worker was restarted.
   std::int64_t started_at_ms = 0;
+  // In the latest report of this process that contains a capacity.
+  std::optional<ReportedCapacity> reported_capacity;
   // Highest number of an end of a run in the worker's reports. The next renewal
   // acknowledges all ends up to it.
   std::uint64_t last_seen_end = 0;
@@ -169,7 +177,8 @@
 // covers have ended.
 Duration LongestLeaseTime(const LeaseTimes& times);
 
-// Returns the capacity that is not used by runs.
+// Returns the capacity that is not used by runs. It is negative in a resource
+// whose capacity has shrunk below the demands of the worker's runs.
 Resources FreeCapacity(const WorkerRuns& worker);
 
 // Adds a run whose start order is about to be sent. Precondition: the worker
--- a/packages/coordination/src/task_placement.cc
+++ b/packages/coordination/src/task_placement.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 
+#include "sequoiapath/coordination/worker_capacity.h"
 #include "worker_crashes.h"
 
 namespace sequoiapath {
@@ -144,7 +145,7 @@
     for (std::size_t s = 0; s < job.steps.size(); ++s) {
       const JobStep& step = job.steps[s];
       if (possible[s] || !IsAllowed(*worker, job, step) ||
-          !Fits(step.demand, worker->description.capacity)) {
+          !Fits(step.demand, CurrentCapacity(*worker))) {
         continue;
       }
       possible[s] = true;
@@ -219,8 +220,7 @@
         !internal::IsUsable(scheduler, *worker, now)) {
       continue;
     }
-    milli_cores +=
-        static_cast<double>(worker->description.capacity.milli_cores);
+    milli_cores += static_cast<double>(CurrentCapacity(*worker).milli_cores);
   }
   if (milli_cores <= 0) return std::nullopt;
   double queued_work = 0;
--- a/packages/coordination/src/worker_runs.cc
+++ b/packages/coordination/src/worker_runs.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "sequoiapath/coordination/scheduler_election.h"
+#include "sequoiapath/coordination/worker_capacity.h"
 
 namespace sequoiapath {
 namespace internal {
@@ -151,7 +152,7 @@
 }
 
 Resources FreeCapacity(const WorkerRuns& worker) {
-  Resources free = worker.description.capacity;
+  Resources free = CurrentCapacity(worker);
   free -= worker.used;
   return free;
 }
@@ -196,6 +197,10 @@
   worker->clock = report.clock;
   worker->clock_received_at = now;
   worker->clock_known = true;
+  if (report.capacity) {
+    worker->reported_capacity =
+        ReportedCapacity{*report.capacity, report.clock};
+  }
   worker->latest_run_expiry.reset();
   internal::ApplyEnds(worker, report, &ended);
   internal::ApplyRunning(worker, report, now);
@@ -246,6 +251,7 @@
   worker->last_seen_end = 0;
   worker->last_lease_end = WorkerTime(0);
   worker->clock_known = false;
+  worker->reported_capacity.reset();
 }
 
 }  // namespace sequoiapath
--- a/packages/fakes/include/sequoiapath/fakes/lease_worker.h
+++ b/packages/fakes/include/sequoiapath/fakes/lease_worker.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,11 +24,17 @@
   bool fails = false;
   bool never_completes = false;  // Runs until a stop or the end of its lease.
   std::string spec;
+  // Set once a stop order was accepted. The run ends then, as stopped.
+  std::optional<WorkerTime> stops_at;
 };
 
 // State of a fake worker. Not thread-safe, like all functions below.
 struct LeaseWorker {
   WorkerTime longest_lease{1000};
+  // Time that a stop takes. The run continues to be listed as running.
+  WorkerTime stop_time{0};
+  // The capacity that the reports contain, if any. It may change at any time.
+  std::optional<Resources> capacity;
   std::int64_t started_at_ms = 1;
   WorkerTime now{0};
   WorkerTime lease_end{0};
@@ -39,9 +46,9 @@
   std::uint64_t last_end_number = 0;
 };
 
-// Advances the worker's clock to `now`: completes due tasks, and ends all
-// running tasks if the lease has expired. Returns the number of runs that
-// ended. Precondition: `now` does not decrease between calls.
+// Advances the worker's clock to `now`: completes due tasks, ends due stops,
+// and ends all running tasks if the lease has expired. Returns the number of
+// runs that ended. Precondition: `now` does not decrease between calls.
 std::size_t Advance(LeaseWorker* worker, WorkerTime now);
 
 // Start, Stop and Renew apply an order at the worker's current time. `run`
@@ -52,7 +59,7 @@
 RenewReply Renew(LeaseWorker* worker, const RenewOrder& order);
 
 // Restarts the worker: discards all tasks and fencing state, and resets its
-// clock to zero.
+// clock to zero. The capacity stays.
 void Restart(LeaseWorker* worker);
 
 }  // namespace sequoiapath::fakes
--- a/packages/fakes/src/lease_worker.cc
+++ b/packages/fakes/src/lease_worker.cc
@@ -33,9 +33,12 @@
   const std::uint64_t before = worker->last_end_number;
   worker->now = now;
   std::vector<TaskName> done;
+  std::vector<TaskName> stopped;
   for (const auto& [task, run] : worker->running) {
-    if (!run.never_completes &&
-        run.completes_at <= std::min(now, worker->lease_end)) {
+    if (run.stops_at) {
+      if (*run.stops_at <= now) stopped.push_back(task);
+    } else if (!run.never_completes &&
+               run.completes_at <= std::min(now, worker->lease_end)) {
       done.push_back(task);
     }
   }
@@ -44,6 +47,9 @@
     internal::EndRun(worker, task,
                      fails ? RunOutcome::kFailed : RunOutcome::kDone);
   }
+  for (const TaskName& task : stopped) {
+    internal::EndRun(worker, task, RunOutcome::kStopped);
+  }
   while (now > worker->lease_end && !worker->running.empty()) {
     internal::EndRun(worker, worker->running.begin()->first,
                      RunOutcome::kLeaseExpired);
@@ -82,7 +88,11 @@
   }
   const auto existing = worker->running.find(order.task);
   if (existing != worker->running.end() && existing->second.run <= order.run) {
-    internal::EndRun(worker, order.task, RunOutcome::kStopped);
+    if (worker->stop_time.count() == 0) {
+      internal::EndRun(worker, order.task, RunOutcome::kStopped);
+    } else if (!existing->second.stops_at) {
+      existing->second.stops_at = worker->now + worker->stop_time;
+    }
   }
   std::uint32_t& highest = worker->highest_run[order.task];
   highest = std::max(highest, order.run);
@@ -101,6 +111,7 @@
   report.clock = worker->now;
   report.started_at_ms = worker->started_at_ms;
   report.ended = worker->ended;
+  report.capacity = worker->capacity;
   for (const auto& [task, run] : worker->running) {
     report.running.push_back({task, run.run});
   }
@@ -110,6 +121,8 @@
 void Restart(LeaseWorker* worker) {
   LeaseWorker restarted;
   restarted.longest_lease = worker->longest_lease;
+  restarted.stop_time = worker->stop_time;
+  restarted.capacity = worker->capacity;
   restarted.started_at_ms = worker->started_at_ms + 1;
   *worker = std::move(restarted);
 }
--- a/packages/protocol/include/sequoiapath/protocol/worker_order.h
+++ b/packages/protocol/include/sequoiapath/protocol/worker_order.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <variant>
@@ -46,7 +47,8 @@
   std::uint32_t slots = 0;  // Zero: no limit beyond the capacity.
   std::vector<std::string> labels;
   bool draining = false;
-  std::int64_t started_at_ms = 0;  // Unix time of the process's start.
+  std::int64_t started_at_ms = 0;   // Unix time of the process's start.
+  std::optional<WorkerTime> clock;  // When the worker wrote the record.
 };
 
 struct StartOrder {
@@ -105,6 +107,7 @@
   std::int64_t started_at_ms = 0;  // Zero if the reply does not contain it.
   std::vector<RunningTask> running;
   std::vector<EndedTask> ended;
+  std::optional<Resources> capacity;  // Not set if the reply has none.
 };
 
 // Reason why a worker rejected an order. A rejected order has no effect.
--- a/tests/correctness/platform_adapter_test.cc
+++ b/tests/correctness/platform_adapter_test.cc
@@ -288,6 +288,23 @@
   EXPECT_EQ(report->ended[0].outcome, RunOutcome::kDone);
 }
 
+// Guards against starts beyond a capacity that has shrunk and that only the
+// reports show. Reports may lack it; an amount that is missing counts as zero.
+TEST(PlatformWorkersTest, DecodesTheCapacityInReports) {
+  const WorkerCodec codec = platform::MakeWorkerCodec();
+  const auto capacity_in = [&codec](const std::string& members) {
+    const auto reply = codec.decode_renew_reply(
+        Reply(200, R"({"clockMs":1,"running":[],"ended":[])" + members + "}"));
+    return std::get<WorkerReport>(reply).capacity;
+  };
+  EXPECT_EQ(capacity_in(""), std::nullopt);
+  EXPECT_EQ(capacity_in(R"(,"capacity":"odd")"), std::nullopt);
+  EXPECT_EQ(capacity_in(R"(,"capacity":{"cpu":4000,"memMb":8192,"gpu":2})"),
+            (Resources{4000, 8192, 2}));
+  EXPECT_EQ(capacity_in(R"(,"capacity":{"memMb":8192})"),
+            (Resources{0, 8192, 0}));
+}
+
 // Guards against running tasks that the scheduler overlooks: a report with a
 // row that cannot be decoded must be rejected as a whole.
 TEST(PlatformWorkersTest, RejectsReportsWithMalformedRows) {
@@ -539,6 +556,15 @@
             "\xF0\x9F\x98\x80\"\n");
 }
 
+TEST(PlatformStoreTest, DecodesTheClockInWorkerRecords) {
+  const auto clock_in = [](const std::string& value) {
+    const auto worker = DecodeWorker(WorkerEntryWith("clockMs", value));
+    return std::get<WorkerDescription>(worker).clock;
+  };
+  EXPECT_EQ(clock_in(""), std::nullopt);
+  EXPECT_EQ(clock_in("482113"), WorkerTime(482'113));
+}
+
 TEST(RouteTableTest, SelectsTheLongestPrefixOfTheHost) {
   RouteTable table;
   table.version = 1;
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -181,6 +181,46 @@
   EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kCompleted);
 }
 
+// Guards against starts beyond a capacity that has shrunk while the worker runs
+// tasks. Only its reports show that, because the store is unavailable.
+TEST(TaskSchedulerTest, ShrunkCapacityIsNotExceeded) {
+  SchedulerHarness harness(2);
+  harness.Submit(Job("j1", 4));
+  EXPECT_EQ(harness.RunningOf("j1"), 4U);
+  for (auto& [id, worker] : harness.workers) {
+    worker.capacity = Resources{7'000, 32'768, 0};
+  }
+  harness.store_readable = false;
+  harness.Run(milliseconds(50));
+  harness.Submit(Job("j2", 6, 3'000));
+  EXPECT_EQ(harness.RunningOf("j2"), 0U);
+  harness.Run(milliseconds(250));
+  EXPECT_EQ(harness.RunningOf("j1"), 0U);
+  EXPECT_EQ(harness.RunningOf("j2"), 4U);
+  for (auto& [id, worker] : harness.workers) {
+    worker.capacity = Resources{16'000, 32'768, 0};
+  }
+  harness.Run(milliseconds(50));
+  EXPECT_EQ(harness.RunningOf("j2"), 6U);
+}
+
+// Guards against a successor that takes the capacity of a record that it read
+// before the worker shrank.
+TEST(TaskSchedulerTest, SuccessorLearnsAShrunkCapacityFromTheFirstReport) {
+  SchedulerHarness harness(1);
+  harness.workers["w0"].capacity = Resources{7'000, 32'768, 0};
+  harness.Run(milliseconds(50));
+  EndScheduling(&harness.scheduler);
+  UpdateWorker(&harness.scheduler, Worker(0), harness.now);
+  BeginScheduling(&harness.scheduler, kSchedulerFence + 1, harness.now);
+  harness.Submit(Job("j1", 3));
+  harness.Run(milliseconds(50));
+  EXPECT_EQ(harness.RunningOf("j1"), 1U);
+  UpdateWorker(&harness.scheduler, Worker(0), harness.now);
+  harness.Run(milliseconds(50));
+  EXPECT_EQ(harness.RunningOf("j1"), 1U);
+}
+
 TEST(TaskSchedulerTest, UrgentJobsGoFirst) {
   SchedulerHarness harness(1);
   harness.Submit(Job("running", 2));
