Model the whole path of a request in virtual time

Cause: the random test of the scheduler begins at the scheduler.

Change: fuzz.RequestPathFuzz plays callers that send a job again, daemons with the real election and the real scheduler, workers, connections that deliver in order and late, cuts of a zone, freezes, suspensions, kills and resets. The decisions of the gateway and of the daemon are in model_daemon.cc, the connections in model_network.cc.

--- /dev/null
+++ b/tests/fuzz/model_daemon.cc
@@ -0,0 +1,581 @@
+#include "model_daemon.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiapath {
+namespace internal {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The following are as in EntryDaemon, SchedulerService and JobGateway.
+constexpr Duration kElectionInterval = milliseconds(50);
+constexpr Duration kHeartbeatInterval = milliseconds(200);
+constexpr milliseconds kHeartbeatTimeout{400};
+constexpr Duration kPartialClaimDelay = milliseconds(700);
+constexpr milliseconds kSubmissionTimeoutMargin{300};
+constexpr Duration kCancelRetryDelay = milliseconds(50);
+constexpr Duration kCancelRetryTime = milliseconds(2000);
+constexpr Duration kTickInterval = milliseconds(20);
+constexpr Duration kSubmissionRetryInterval = milliseconds(20);
+constexpr milliseconds kAnswerTimeoutMargin{50};
+constexpr milliseconds kRefusalRetryAfter{1000};
+
+std::string MakeOrigin(const std::string& vm, std::uint64_t incarnation) {
+  return fmt::format("{}/{}", vm, incarnation);
+}
+
+// Returns the time of day, which all hosts share.
+milliseconds WallClock(TimePoint now) {
+  return std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+}
+
+}  // namespace
+}  // namespace internal
+
+using internal::MakeOrigin;
+using std::chrono::milliseconds;
+
+ModelDaemon::ModelDaemon(ModelSurroundings* surroundings, int host,
+                         const std::string& vm,
+                         const std::vector<ListedDaemon>& listed,
+                         const std::vector<WorkerDescription>& workers)
+    : host(host), surroundings(surroundings) {
+  DaemonReport& self = this->election.self;
+  self.vm = vm;
+  self.incarnation = surroundings->network->Host(host).process;
+  self.weight = 1000;
+  self.endpoint = {"127.0.0.1", static_cast<std::uint16_t>(1000 + host)};
+  for (const ListedDaemon& daemon : listed) {
+    if (daemon.vm == vm) self.data_centre = daemon.data_centre;
+  }
+  this->election.started = this->Now();
+  SetListedDaemons(&this->election, listed);
+  for (const WorkerDescription& worker : workers) {
+    UpdateWorker(&this->scheduler, worker, this->Now());
+  }
+}
+
+void ModelDaemon::Start() {
+  this->HeartbeatTick();
+  this->ElectionTick();
+  this->ServiceTick();
+}
+
+void ModelDaemon::Schedule(Duration delay, std::function<void()> run) {
+  this->surroundings->network->Schedule(this->host, delay, std::move(run));
+}
+
+void ModelDaemon::Trace(const std::string& job, const std::string& event) {
+  this->surroundings->trace(
+      job, fmt::format("{}: {}", this->election.self.vm, event));
+}
+
+std::string ModelDaemon::OwnOrigin() const {
+  return MakeOrigin(this->election.self.vm, this->election.self.incarnation);
+}
+
+void ModelDaemon::Call(const std::string& vm, Duration timeout,
+                       ModelCall call) {
+  this->surroundings->network->Call(this->host,
+                                    this->surroundings->daemon(vm)->host,
+                                    timeout, std::move(call));
+}
+
+// ---- Gateway ----
+
+void ModelDaemon::Accept(const StepJob& job, int attempt, milliseconds timeout,
+                         const ModelAnswerCallback& respond) {
+  const auto known = this->jobs.find(job.id);
+  if (known != this->jobs.end()) {
+    known->second.attempt = attempt;
+    known->second.respond = respond;
+    return;
+  }
+  ModelGatewayJob accepted;
+  accepted.job = job;
+  accepted.attempt = attempt;
+  accepted.respond = respond;
+  accepted.arrived = this->Now();
+  accepted.expires = this->Now() + timeout;
+  const TimePoint expires = accepted.expires;
+  ModelGatewayJob* added =
+      &this->jobs.emplace(job.id, std::move(accepted)).first->second;
+  this->Schedule(timeout + internal::kAnswerTimeoutMargin,
+                 [this, id = job.id, expires] {
+                   const auto found = this->jobs.find(id);
+                   if (found == this->jobs.end()) return;
+                   if (found->second.expires == expires) this->ExpireJob(id);
+                 });
+  if (this->election.leader.empty()) {
+    this->ScheduleRetry();
+  } else {
+    this->SubmitTo(added, this->election.leader);
+  }
+}
+
+void ModelDaemon::Abort(const std::string& job, int attempt) {
+  const auto found = this->jobs.find(job);
+  if (found == this->jobs.end() || found->second.attempt != attempt) return;
+  this->Trace(job, "caller left");
+  this->CancelSubmission(&found->second);
+  this->jobs.erase(job);
+}
+
+void ModelDaemon::AnswerCaller(const std::string& id,
+                               const StepJobAnswer& answer) {
+  const auto node = this->jobs.extract(id);
+  if (node.empty()) return;
+  this->Trace(
+      id, fmt::format("answers {} {}", sequoiapath::ToString(answer.outcome),
+                      answer.reason));
+  node.mapped().respond(answer);
+}
+
+void ModelDaemon::OnSubmissionResult(const std::string& id,
+                                     std::uint64_t submission,
+                                     const StepJobAnswer* answer, bool sent) {
+  const auto found = this->jobs.find(id);
+  if (found == this->jobs.end()) return;
+  ModelGatewayJob& job = found->second;
+  if (job.submission != submission) return;
+  if (answer != nullptr && answer->outcome == StepJobOutcome::kCancelled) {
+    this->AnswerCaller(
+        id, {StepJobOutcome::kExpired, "cancelled", milliseconds(0)});
+    return;
+  }
+  if (answer != nullptr && answer->outcome != StepJobOutcome::kMoved) {
+    this->AnswerCaller(id, *answer);
+    return;
+  }
+  if (sent) job.was_submitted = true;
+  this->Trace(id,
+              fmt::format("returned by {} {}", job.submitted_to,
+                          answer == nullptr ? "unanswered" : answer->reason));
+  job.submitted_to.clear();
+  this->ScheduleRetry();
+}
+
+// All daemons know all workers.
+std::vector<std::string> ModelDaemon::FormerWorkers() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : this->scheduler.workers) ids.push_back(id);
+  return ids;
+}
+
+void ModelDaemon::SubmitTo(ModelGatewayJob* job, const std::string& leader) {
+  if (job->was_submitted) ++job->job.generation;
+  job->was_submitted = true;
+  job->submitted_to = leader;
+  job->submission = this->next_submission++;
+  if (!job->last_scheduler.empty() && job->last_scheduler != leader) {
+    this->CancelAtLeader(job->last_scheduler, job->job.id);
+  }
+  job->last_scheduler = leader;
+  StepJob copy = job->job;
+  if (copy.generation > 0) copy.former_workers = this->FormerWorkers();
+  job->job.former_fence =
+      std::max(job->job.former_fence, this->election.self.highest_fence);
+  copy.age =
+      std::chrono::duration_cast<milliseconds>(this->Now() - job->arrived);
+  copy.remaining = std::max(
+      milliseconds(0),
+      std::chrono::duration_cast<milliseconds>(job->expires - this->Now()));
+  this->Trace(copy.id, fmt::format("submits to {} generation {}", leader,
+                                   copy.generation));
+  this->SubmitToLeader(leader, copy, job->submission);
+}
+
+void ModelDaemon::CancelSubmission(ModelGatewayJob* job) {
+  job->submission = 0;
+  if (job->submitted_to.empty()) return;
+  this->CancelAtLeader(job->submitted_to, job->job.id);
+}
+
+void ModelDaemon::ExpireJob(const std::string& id) {
+  ModelGatewayJob* job = &this->jobs.at(id);
+  if (job->was_submitted) {
+    this->CancelSubmission(job);
+    this->AnswerCaller(
+        id, {StepJobOutcome::kExpired, "deadline_exceeded", milliseconds(0)});
+    return;
+  }
+  this->AnswerCaller(id, {StepJobOutcome::kRefused, "no_scheduler",
+                          internal::kRefusalRetryAfter});
+}
+
+void ModelDaemon::SubmitWaiting() {
+  const TimePoint now = this->Now();
+  const std::string leader = this->election.leader;
+  std::vector<std::string> waiting;
+  for (const auto& [id, job] : this->jobs) {
+    if (job.submitted_to != leader || leader.empty()) waiting.push_back(id);
+  }
+  for (const std::string& id : waiting) {
+    const auto found = this->jobs.find(id);
+    if (found == this->jobs.end()) continue;
+    ModelGatewayJob& job = found->second;
+    const bool cannot_end =
+        !job.was_submitted && now + ShortestRunTime(job.job) > job.expires;
+    if (now >= job.expires || cannot_end) {
+      this->ExpireJob(id);
+    } else if (!leader.empty()) {
+      this->SubmitTo(&job, leader);
+    }
+  }
+  const bool any_waiting = std::any_of(
+      this->jobs.begin(), this->jobs.end(),
+      [](const auto& entry) { return entry.second.submitted_to.empty(); });
+  if (any_waiting) this->ScheduleRetry();
+}
+
+void ModelDaemon::ScheduleRetry() {
+  if (std::exchange(this->retry_scheduled, true)) return;
+  this->Schedule(internal::kSubmissionRetryInterval, [this] {
+    this->retry_scheduled = false;
+    this->SubmitWaiting();
+  });
+}
+
+void ModelDaemon::ResubmitAll() {
+  for (auto& [id, job] : this->jobs) job.submitted_to.clear();
+  this->SubmitWaiting();
+}
+
+// ---- Submissions and cancels ----
+
+void ModelDaemon::SubmitToLeader(const std::string& leader, const StepJob& job,
+                                 std::uint64_t submission) {
+  if (leader != this->election.self.vm) {
+    this->SubmitToPeer(leader, job, submission);
+    return;
+  }
+  this->Submit(job, this->OwnOrigin(),
+               [this, id = job.id, submission](const StepJobAnswer& answer) {
+                 this->OnSubmissionResult(id, submission, &answer, true);
+               });
+}
+
+void ModelDaemon::SubmitToPeer(const std::string& leader, const StepJob& job,
+                               std::uint64_t submission) {
+  if (!this->election.peers.contains(leader)) {
+    this->OnSubmissionResult(job.id, submission, nullptr, false);
+    return;
+  }
+  const auto serve = [this, leader, job, origin = this->OwnOrigin(),
+                      submission](const CallResponder& respond) {
+    ModelDaemon* target = this->surroundings->daemon(leader);
+    target->Submit(
+        job, origin,
+        [this, respond, id = job.id, submission](const StepJobAnswer& answer) {
+          respond([this, id, submission, answer] {
+            this->OnSubmissionResult(id, submission, &answer, true);
+          });
+        });
+  };
+  const std::uint64_t incarnation = IncarnationOf(this->election, leader);
+  const auto fail = [this, leader, incarnation, id = job.id, submission](
+                        CallError error, bool sent) {
+    if (error == CallError::kConnectFailed) {
+      RecordDaemonFailure(&this->election, leader, incarnation);
+    }
+    this->OnSubmissionResult(id, submission, nullptr, sent);
+    if (error == CallError::kTimeout) return;
+    this->SendHeartbeats();
+    this->RunElectionNow();
+  };
+  this->Call(leader, job.remaining + internal::kSubmissionTimeoutMargin,
+             {serve, fail});
+}
+
+void ModelDaemon::CancelAtLeader(const std::string& leader,
+                                 const std::string& job) {
+  if (leader == this->election.self.vm) {
+    this->CancelSubmissionOf(job, this->OwnOrigin());
+  } else {
+    this->SendCancel(leader, job, this->Now() + internal::kCancelRetryTime);
+  }
+}
+
+void ModelDaemon::SendCancel(const std::string& vm, const std::string& job,
+                             TimePoint last_attempt) {
+  if (!this->election.peers.contains(vm)) return;
+  this->Trace(job, fmt::format("cancels at {}", vm));
+  const auto serve = [this, vm, job, origin = this->OwnOrigin()](
+                         const CallResponder& respond) {
+    this->surroundings->daemon(vm)->CancelSubmissionOf(job, origin);
+    respond([] {});
+  };
+  const auto fail = [this, vm, job, last_attempt](CallError error, bool) {
+    if (error == CallError::kConnectFailed) return;
+    this->Schedule(internal::kCancelRetryDelay, [this, vm, job, last_attempt] {
+      if (this->Now() > last_attempt) return;
+      const auto found = this->jobs.find(job);
+      if (found != this->jobs.end() && found->second.submitted_to == vm) return;
+      this->SendCancel(vm, job, last_attempt);
+    });
+  };
+  this->Call(vm, internal::kHeartbeatTimeout, {serve, fail});
+}
+
+// ---- Scheduler service ----
+
+void ModelDaemon::Submit(const StepJob& job, const std::string& origin,
+                         const ModelAnswerCallback& callback) {
+  this->Trace(
+      job.id,
+      fmt::format("receives generation {} from {}{}", job.generation, origin,
+                  this->scheduler.fence == 0 ? ", does not schedule" : ""));
+  if (this->scheduler.fence == 0) {
+    callback({StepJobOutcome::kMoved, "not_scheduling", milliseconds(0)});
+    return;
+  }
+  this->waiters[job.id] = {origin, callback};
+  SubmitJob(&this->scheduler, job, this->Now());
+  this->ExecuteActions();
+  this->ScheduleRun();
+}
+
+void ModelDaemon::CancelSubmissionOf(const std::string& job,
+                                     const std::string& origin) {
+  const auto waiter = this->waiters.find(job);
+  if (waiter != this->waiters.end() && waiter->second.origin != origin) return;
+  const bool known = CancelJob(&this->scheduler, job, this->Now());
+  if (known) this->Trace(job, fmt::format("cancelled by {}", origin));
+  this->ExecuteActions();
+  this->ScheduleRun();
+}
+
+std::vector<ModelDaemon::Waiter> ModelDaemon::StopJobsOf(
+    const std::string& origin) {
+  std::vector<std::string> stopped;
+  for (const auto& [id, waiter] : this->waiters) {
+    if (waiter.origin == origin) stopped.push_back(id);
+  }
+  std::vector<Waiter> removed;
+  for (const std::string& id : stopped) {
+    this->Trace(id, fmt::format("stops the job of {}", origin));
+    removed.push_back(std::move(this->waiters.extract(id).mapped()));
+    CancelJob(&this->scheduler, id, this->Now());
+  }
+  this->ExecuteActions();
+  this->ScheduleRun();
+  return removed;
+}
+
+void ModelDaemon::CancelJobsOf(const std::string& origin) {
+  this->StopJobsOf(origin);
+}
+
+void ModelDaemon::ReturnJobsOf(const std::string& origin) {
+  for (const Waiter& waiter : this->StopJobsOf(origin)) {
+    waiter.callback({StepJobOutcome::kMoved, "daemon_follows_other_scheduler",
+                     milliseconds(0)});
+  }
+}
+
+void ModelDaemon::ScheduleRun() {
+  if (std::exchange(this->run_scheduled, true)) return;
+  this->Schedule(Duration::zero(), [this] {
+    this->run_scheduled = false;
+    this->RunPass();
+  });
+}
+
+void ModelDaemon::RunPass() {
+  SetWorkersListedAt(&this->scheduler, this->Now());
+  RunScheduler(&this->scheduler, this->Now());
+  this->ExecuteActions();
+}
+
+void ModelDaemon::ExecuteActions() {
+  for (const SchedulerAction& action : TakeActions(&this->scheduler)) {
+    if (const auto* answer = std::get_if<AnswerJob>(&action)) {
+      auto waiter = this->waiters.extract(answer->job);
+      if (!waiter.empty()) waiter.mapped().callback(answer->answer);
+    } else if (const auto* entry = std::get_if<SchedulerLogEntry>(&action)) {
+      if (entry->job.empty()) continue;
+      this->Trace(entry->job, fmt::format("logs {} {} {}", entry->event,
+                                          entry->worker, entry->detail));
+    } else {
+      this->surroundings->order(this, action);
+    }
+  }
+}
+
+void ModelDaemon::ServiceTick() {
+  if (this->scheduler.fence != 0) this->RunPass();
+  this->Schedule(internal::kTickInterval, [this] { this->ServiceTick(); });
+}
+
+// ---- Heartbeats ----
+
+void ModelDaemon::OnReport(const DaemonReport& report) {
+  RecordReport(&this->election, report, this->Now());
+  ModelPeerState& peer_state = this->peer_states[report.vm];
+  if (peer_state.incarnation != 0 &&
+      peer_state.incarnation != report.incarnation) {
+    this->CancelJobsOf(MakeOrigin(report.vm, peer_state.incarnation));
+  }
+  peer_state.incarnation = report.incarnation;
+  if (report.scheduler.empty() || report.scheduler == this->election.self.vm) {
+    return;
+  }
+  this->ReturnJobsOf(MakeOrigin(report.vm, report.incarnation));
+}
+
+void ModelDaemon::SendHeartbeat(const std::string& vm) {
+  ModelPeerState& peer_state = this->peer_states[vm];
+  if (peer_state.heartbeat_in_flight) return;
+  peer_state.heartbeat_in_flight = true;
+  const auto serve =
+      [this, vm, report = this->election.self](const CallResponder& respond) {
+        ModelDaemon* target = this->surroundings->daemon(vm);
+        target->OnReport(report);
+        target->RunElectionNow();
+        respond([this, vm, reply = target->election.self] {
+          this->OnHeartbeatReply(vm, reply);
+        });
+      };
+  const std::uint64_t incarnation = IncarnationOf(this->election, vm);
+  const auto fail = [this, vm, incarnation](CallError error, bool) {
+    this->OnHeartbeatError(vm, incarnation, error);
+  };
+  this->Call(vm, internal::kHeartbeatTimeout, {serve, fail});
+}
+
+void ModelDaemon::OnHeartbeatReply(const std::string& vm,
+                                   const DaemonReport& report) {
+  ModelPeerState& peer_state = this->peer_states[vm];
+  peer_state.heartbeat_in_flight = false;
+  this->OnReport(report);
+  peer_state.closed = false;
+  if (std::exchange(peer_state.suspect, false) && vm == this->election.leader) {
+    this->ResubmitAll();
+  }
+  this->RunElectionNow();
+}
+
+void ModelDaemon::OnHeartbeatError(const std::string& vm,
+                                   std::uint64_t incarnation, CallError error) {
+  ModelPeerState& peer_state = this->peer_states[vm];
+  peer_state.heartbeat_in_flight = false;
+  peer_state.suspect = true;
+  const bool closed = error == CallError::kClosed;
+  const bool closed_again = std::exchange(peer_state.closed, closed);
+  if (closed && !closed_again) {
+    this->SendHeartbeat(vm);
+  } else if (error != CallError::kTimeout) {
+    RecordDaemonFailure(&this->election, vm, incarnation);
+  }
+  this->RunElectionNow();
+}
+
+void ModelDaemon::SendHeartbeats() {
+  std::vector<std::string> vms;
+  for (const auto& [vm, peer] : this->election.peers) vms.push_back(vm);
+  for (const std::string& vm : vms) this->SendHeartbeat(vm);
+}
+
+void ModelDaemon::HeartbeatTick() {
+  this->SendHeartbeats();
+  this->Schedule(internal::kHeartbeatInterval,
+                 [this] { this->HeartbeatTick(); });
+}
+
+// ---- Election ----
+
+std::set<std::string> ModelDaemon::HomeWorkers() const {
+  std::set<std::string> home;
+  for (const auto& [id, worker] : this->scheduler.workers) {
+    if (IsHomeWorker(this->election, id, worker.description.data_centre,
+                     this->Now())) {
+      home.insert(id);
+    }
+  }
+  return home;
+}
+
+void ModelDaemon::UpdateExtent() {
+  const bool partial = this->election.role == SchedulerRole::kPartial;
+  std::set<std::string> home;
+  if (partial) home = this->HomeWorkers();
+  if (this->scheduler.partial == partial &&
+      this->scheduler.home_workers == home) {
+    return;
+  }
+  const bool became_partial = partial && !this->scheduler.partial;
+  SetExtent(&this->scheduler, partial, std::move(home));
+  if (became_partial) {
+    RetryForeignWorkers(&this->scheduler,
+                        MakeHighestFencingToken(&this->election),
+                        internal::kPartialClaimDelay, this->Now());
+  }
+  this->ScheduleRun();
+}
+
+bool ModelDaemon::UpdateReachability() {
+  bool any_newly_reachable = false;
+  for (auto& [vm, peer_state] : this->peer_states) {
+    const bool reachable = IsReachable(this->election, vm, this->Now());
+    if (reachable == peer_state.reachable) continue;
+    peer_state.reachable = reachable;
+    if (reachable) {
+      any_newly_reachable = true;
+    } else {
+      this->CancelJobsOf(MakeOrigin(vm, peer_state.incarnation));
+    }
+  }
+  return any_newly_reachable;
+}
+
+void ModelDaemon::ApplyRole() {
+  const bool schedules = this->election.self.claim != 0;
+  const bool scheduled = this->scheduler.fence != 0;
+  if (schedules && !scheduled) {
+    this->UpdateExtent();
+    BeginScheduling(&this->scheduler, this->election.self.claim, this->Now());
+    this->RunPass();
+    this->SendHeartbeats();
+  } else if (!schedules && scheduled) {
+    EndScheduling(&this->scheduler);
+    this->ExecuteActions();
+    this->SendHeartbeats();
+  } else if (schedules) {
+    this->UpdateExtent();
+  }
+}
+
+void ModelDaemon::RunElectionNow() {
+  const bool any_newly_reachable = this->UpdateReachability();
+  const std::string former = this->election.leader;
+  const ElectionChange change =
+      RunElection(&this->election, this->Now(),
+                  internal::WallClock(
+                      this->Now() +
+                      this->surroundings->network->Host(this->host).clock_lag));
+  this->ApplyRole();
+  const bool may_claim =
+      any_newly_reachable || change.last_other_scheduler_ended;
+  if (may_claim && this->election.role == SchedulerRole::kFull &&
+      this->election.other_schedulers.empty()) {
+    RetryForeignWorkers(&this->scheduler,
+                        MakeHighestFencingToken(&this->election),
+                        Duration::zero(), this->Now());
+    this->ScheduleRun();
+  }
+  if (!change.leader_changed) return;
+  this->Trace("", fmt::format("follows '{}' after '{}'", this->election.leader,
+                              former));
+  this->SubmitWaiting();
+}
+
+void ModelDaemon::ElectionTick() {
+  this->RunElectionNow();
+  this->Schedule(internal::kElectionInterval, [this] { this->ElectionTick(); });
+}
+
+}  // namespace sequoiapath
--- /dev/null
+++ b/tests/fuzz/model_daemon.h
@@ -0,0 +1,156 @@
+// Defines ModelDaemon, which makes the decisions of an entry daemon in virtual
+// time: those of JobGateway, SchedulerService and EntryDaemon, which run on an
+// event loop. The election and the task scheduler are the real ones.
+
+#ifndef SEQUOIAPATH_TESTS_FUZZ_MODEL_DAEMON_H_
+#define SEQUOIAPATH_TESTS_FUZZ_MODEL_DAEMON_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "model_network.h"
+#include "sequoiapath/coordination/scheduler_election.h"
+#include "sequoiapath/coordination/task_scheduler.h"
+
+namespace sequoiapath {
+
+class ModelDaemon;
+
+// What a daemon needs from the simulation.
+struct ModelSurroundings {
+  ModelNetwork* network = nullptr;
+  // Returns the daemon that runs on a VM.
+  std::function<ModelDaemon*(const std::string& vm)> daemon;
+  // Sends an order to a worker.
+  std::function<void(ModelDaemon* daemon, const SchedulerAction& order)> order;
+  // Records an event of a job; of all jobs if `job` is empty.
+  std::function<void(const std::string& job, std::string event)> trace;
+};
+
+using ModelAnswerCallback = std::function<void(const StepJobAnswer& answer)>;
+
+// A job of a daemon's gateway.
+struct ModelGatewayJob {
+  StepJob job;
+  int attempt = 0;  // Of the caller.
+  ModelAnswerCallback respond;
+  TimePoint arrived;
+  TimePoint expires;
+  std::string submitted_to;
+  std::string last_scheduler;
+  std::uint64_t submission = 0;
+  bool was_submitted = false;
+};
+
+struct ModelPeerState {
+  bool heartbeat_in_flight = false;
+  bool reachable = false;
+  bool suspect = false;
+  bool closed = false;
+  std::uint64_t incarnation = 0;
+};
+
+// Not thread-safe. It exists until the end of the simulation, because messages
+// to its process refer to it.
+class ModelDaemon {
+ public:
+  ModelDaemon(ModelSurroundings* surroundings, int host, const std::string& vm,
+              const std::vector<ListedDaemon>& listed,
+              const std::vector<WorkerDescription>& workers);
+
+  // Begins to send heartbeats and to run the election and the scheduler.
+  void Start();
+
+  // Handles a caller's request.
+  void Accept(const StepJob& job, int attempt,
+              std::chrono::milliseconds timeout,
+              const ModelAnswerCallback& respond);
+
+  // The caller has closed the connection of an attempt.
+  void Abort(const std::string& job, int attempt);
+
+  // Returns the time on the daemon's steady clock.
+  TimePoint Now() const { return this->surroundings->network->ClockOf(host); }
+
+  // Plans a pass of the scheduler after an event.
+  void ScheduleRun();
+
+  TaskScheduler scheduler;
+  SchedulerElection election;
+  const int host;
+
+ private:
+  struct Waiter {
+    std::string origin;
+    ModelAnswerCallback callback;
+  };
+
+  void Schedule(Duration delay, std::function<void()> run);
+  void Trace(const std::string& job, const std::string& event);
+  std::string OwnOrigin() const;
+  void Call(const std::string& vm, Duration timeout, ModelCall call);
+
+  // Gateway.
+  void SubmitTo(ModelGatewayJob* job, const std::string& leader);
+  void OnSubmissionResult(const std::string& id, std::uint64_t submission,
+                          const StepJobAnswer* answer, bool sent);
+  void AnswerCaller(const std::string& id, const StepJobAnswer& answer);
+  void CancelSubmission(ModelGatewayJob* job);
+  void ExpireJob(const std::string& id);
+  void SubmitWaiting();
+  void ScheduleRetry();
+  void ResubmitAll();
+  std::vector<std::string> FormerWorkers() const;
+
+  // Submissions and cancels.
+  void SubmitToLeader(const std::string& leader, const StepJob& job,
+                      std::uint64_t submission);
+  void SubmitToPeer(const std::string& leader, const StepJob& job,
+                    std::uint64_t submission);
+  void CancelAtLeader(const std::string& leader, const std::string& job);
+  void SendCancel(const std::string& vm, const std::string& job,
+                  TimePoint last_attempt);
+
+  // Scheduler service.
+  void Submit(const StepJob& job, const std::string& origin,
+              const ModelAnswerCallback& callback);
+  void CancelSubmissionOf(const std::string& job, const std::string& origin);
+  std::vector<Waiter> StopJobsOf(const std::string& origin);
+  void CancelJobsOf(const std::string& origin);
+  void ReturnJobsOf(const std::string& origin);
+  void RunPass();
+  void ExecuteActions();
+  void ServiceTick();
+
+  // Heartbeats and election.
+  void SendHeartbeat(const std::string& vm);
+  void SendHeartbeats();
+  void HeartbeatTick();
+  void OnReport(const DaemonReport& report);
+  void OnHeartbeatReply(const std::string& vm, const DaemonReport& report);
+  void OnHeartbeatError(const std::string& vm, std::uint64_t incarnation,
+                        CallError error);
+  void ElectionTick();
+  void RunElectionNow();
+  bool UpdateReachability();
+  void UpdateExtent();
+  void ApplyRole();
+  std::set<std::string> HomeWorkers() const;
+
+  ModelSurroundings* surroundings;
+  std::map<std::string, ModelGatewayJob> jobs;
+  std::map<std::string, Waiter> waiters;  // By job.
+  std::map<std::string, ModelPeerState> peer_states;
+  std::uint64_t next_submission = 1;
+  bool retry_scheduled = false;
+  bool run_scheduled = false;
+};
+
+}  // namespace sequoiapath
+
+#endif  // SEQUOIAPATH_TESTS_FUZZ_MODEL_DAEMON_H_
--- a/tests/fuzz/task_scheduler_test.cc
+++ b/tests/fuzz/task_scheduler_test.cc
@@ -11,19 +11,16 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <functional>
 #include <map>
 #include <numeric>
 #include <ostream>
-#include <queue>
-#include <random>
 #include <set>
-#include <tuple>
 #include <vector>
 
 #include "sequoiapath/coordination/scheduler_election.h"
 #include "sequoiapath/fakes/lease_worker.h"
+#include "virtual_time.h"
 
 namespace sequoiapath {
 namespace {
@@ -69,18 +66,9 @@
 constexpr int kMostCallerRetries = 3;
 // Callers send no job again after this time, so that all jobs end in time.
 constexpr milliseconds kLastCallerRetry{24'000};
-constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr TimePoint kStart = kSimulationStart;
 const Resources kCapacity{16'000, 32'768, 0};
 
-struct Event {
-  TimePoint at;
-  std::uint64_t sequence;
-  std::function<void()> run;
-  bool operator<(const Event& other) const {
-    return std::tie(at, sequence) > std::tie(other.at, other.sequence);
-  }
-};
-
 // Probabilities of the faults of one order.
 struct Faults {
   double order_lost = 0.01;
@@ -127,10 +115,10 @@
 
 // Simulates schedulers, workers and jobs in virtual time, with faults drawn
 // from the seed.
-class Simulation {
+class Simulation : private VirtualTime {
  public:
   explicit Simulation(unsigned seed, FaultKinds kinds = {})
-      : random(seed), kinds(kinds) {
+      : VirtualTime(seed), kinds(kinds) {
     for (int w = 0; w < kWorkers; ++w) this->AddWorker();
     this->known_entries.assign(kVms, this->entries);
     this->cut_off_from_store_until.assign(kVms, kStart);
@@ -154,36 +142,12 @@
     this->At(kStart, [this] { this->Tick(); });
     this->PlanFaults();
     this->PlanFaultsOfKinds();
-    while (!this->events.empty() &&
-           this->events.top().at <= kStart + kSimulationTime) {
-      const Event event = this->events.top();
-      this->events.pop();
-      this->now = event.at;
-      event.run();
-    }
+    this->RunUntil(kStart + kSimulationTime);
   }
 
   const std::map<std::string, SimulatedJob>& Jobs() const { return this->jobs; }
 
  private:
-  double Uniform() {
-    return std::uniform_real_distribution<double>(0, 1)(this->random);
-  }
-  int Pick(int count) {
-    return std::uniform_int_distribution<int>(0, count - 1)(this->random);
-  }
-  milliseconds Between(int low, int high) {
-    return milliseconds(
-        std::uniform_int_distribution<int>(low, high)(this->random));
-  }
-
-  void At(TimePoint at, std::function<void()> run) {
-    this->events.push({at, this->next_sequence++, std::move(run)});
-  }
-  void After(milliseconds delay, std::function<void()> run) {
-    this->At(this->now + delay, std::move(run));
-  }
-
   int WorkerCount() const { return static_cast<int>(this->workers.size()); }
 
   // Adds a worker with an entry in the store.
@@ -1079,13 +1043,9 @@
     }
   }
 
-  std::mt19937 random;
   FaultKinds kinds;
   bool light_load = false;
   Faults faults;
-  TimePoint now = kStart;
-  std::priority_queue<Event> events;
-  std::uint64_t next_sequence = 0;
   std::vector<TaskScheduler> schedulers;
   std::vector<bool> alive;
   std::vector<fakes::LeaseWorker> workers;
@@ -1140,13 +1100,9 @@
 INSTANTIATE_TEST_SUITE_P(KeptSeeds, TaskSchedulerFuzz,
                          testing::Values(95U, 248U, 268U, 353U));
 
-// Returns how many seeds of each kind of fault to run. The environment variable
-// SEQUOIAPATH_FUZZ_SEEDS raises it for a run by hand.
-unsigned SeedsOfEachKind() {
-  constexpr unsigned kDefault = 8;
-  const char* seeds = std::getenv("SEQUOIAPATH_FUZZ_SEEDS");
-  return seeds == nullptr ? kDefault : static_cast<unsigned>(std::atoi(seeds));
-}
+// How many seeds of each kind of fault run unless SEQUOIAPATH_FUZZ_SEEDS is
+// set.
+constexpr unsigned kSeedsOfEachKind = 8;
 
 // A seed of a simulation with kinds of faults. Tests are named by the seed.
 struct KindSeed {
@@ -1169,7 +1125,7 @@
   }
 
   static auto FirstSeeds(const FaultKinds& kinds) {
-    std::vector<unsigned> seeds(SeedsOfEachKind());
+    std::vector<unsigned> seeds(FuzzSeedCount(kSeedsOfEachKind));
     std::iota(seeds.begin(), seeds.end(), 1U);
     return Seeds(kinds, seeds);
   }
