Model the request path's renewals, accepted connections and worker links

Change: TCP delivers what a cut has held up at once and in order; a renewal waits for the end of a run; a woken process reads new connections in the next iteration of its event loop.

--- a/tests/fuzz/model_network.cc
+++ b/tests/fuzz/model_network.cc
@@ -10,6 +10,9 @@
 
 constexpr int kShortestDelayMs = 1;
 constexpr int kLongestDelayMs = 4;
+// Some messages take longer.
+constexpr double kSlowShare = 0.005;
+constexpr int kLongestSlowDelayMs = 300;
 // As in EntryDaemon.
 constexpr milliseconds kPeerConnectTimeout{300};
 // After a cut, TCP sends again within this time.
@@ -91,10 +94,16 @@
   this->zone_cut_until[zone] = this->time->Now() + length;
 }
 
+void ModelNetwork::CutLink(int a, int b, Duration length) {
+  this->link_cut_until[std::minmax(a, b)] = this->time->Now() + length;
+}
+
 TimePoint ModelNetwork::EndOfCut(int a, int b) const {
   const int zone_a = this->hosts[a].zone;
   const int zone_b = this->hosts[b].zone;
-  TimePoint end = kSimulationStart;
+  const auto link = this->link_cut_until.find(std::minmax(a, b));
+  TimePoint end =
+      link == this->link_cut_until.end() ? kSimulationStart : link->second;
   if (zone_a == zone_b) return end;
   for (const int zone : {zone_a, zone_b}) {
     const auto found = this->zone_cut_until.find(zone);
@@ -110,14 +119,18 @@
 void ModelNetwork::Freeze(int host, Duration length, bool clock_stops) {
   ModelHost& target = this->hosts[host];
   if (!target.alive || this->IsFrozen(host)) return;
+  target.frozen_since = this->time->Now();
   target.frozen_until = this->time->Now() + length;
   if (clock_stops) target.clock_lag += length;
   // The event loop reads its sockets before it runs due timers, unless the
-  // process was frozen between these two steps.
+  // process was frozen between these two steps. Connections that it accepts in
+  // one iteration it reads in the next one.
   const Duration delay =
       this->time->Pick(4) == 0 ? milliseconds(1) : milliseconds(0);
   this->time->At(target.frozen_until + delay,
                  [this, host] { this->Drain(host); });
+  this->time->At(target.frozen_until + delay + milliseconds(1),
+                 [this, host] { this->Accept(host); });
 }
 
 void ModelNetwork::Drain(int host) {
@@ -130,10 +143,42 @@
   }
 }
 
+void ModelNetwork::Accept(int host) {
+  ModelHost& target = this->hosts[host];
+  while (!target.unaccepted.empty()) {
+    target.unread.push_back(std::move(target.unaccepted.front()));
+    target.unaccepted.pop_front();
+  }
+  if (!this->IsFrozen(host)) this->Drain(host);
+}
+
+// Returns whether the connection was opened while its server was frozen and the
+// server has not accepted it yet.
+bool ModelNetwork::IsUnaccepted(const ModelConnection& connection) const {
+  const ModelHost& server = this->hosts[connection.server];
+  return this->IsFrozen(connection.server) &&
+         connection.opened_at >= server.frozen_since;
+}
+
+void ModelNetwork::Receive(const ModelConnection& connection,
+                           Direction direction,
+                           const std::function<void()>& message) {
+  ModelHost& server = this->hosts[connection.server];
+  const bool waits =
+      direction == Direction::kToServer &&
+      (this->IsUnaccepted(connection) || !server.unaccepted.empty());
+  if (waits) {
+    server.unaccepted.push_back(message);
+  } else {
+    this->RunAt(internal::Receiver(connection, direction), message);
+  }
+}
+
 void ModelNetwork::Kill(int host) {
   ModelHost& target = this->hosts[host];
   target.alive = false;
   target.unread.clear();
+  target.unaccepted.clear();
   target.frozen_until = this->time->Now();
   ++target.process;
   for (auto& [pair, list] : this->connections) {
@@ -177,6 +222,7 @@
   connection->server = server;
   connection->client_process = this->hosts[client].process;
   connection->server_process = this->hosts[server].process;
+  connection->opened_at = this->time->Now();
   return connection;
 }
 
@@ -201,16 +247,25 @@
   connection->in_flight[Index(direction)].clear();
 }
 
+// Sends again what a cut has held up.
+void ModelNetwork::Retransmit(const ConnectionPtr& connection,
+                              Direction direction) {
+  connection->blocked[Index(direction)] = false;
+  const std::size_t held = connection->in_flight[Index(direction)].size();
+  for (std::size_t i = 0; i < held; ++i) this->Deliver(connection, direction);
+}
+
 void ModelNetwork::Deliver(const ConnectionPtr& connection,
                            Direction direction) {
   auto& queue = connection->in_flight[Index(direction)];
-  if (queue.empty()) return;
+  if (queue.empty() || connection->blocked[Index(direction)]) return;
   if (this->IsCut(connection->client, connection->server)) {
+    connection->blocked[Index(direction)] = true;
     this->time->At(
         this->EndOfCut(connection->client, connection->server) +
             this->time->Between(0, internal::kLongestRetransmissionMs),
         [this, connection, direction] {
-          this->Deliver(connection, direction);
+          this->Retransmit(connection, direction);
         });
     return;
   }
@@ -221,7 +276,7 @@
       internal::ReceiverProcess(*connection, direction)) {
     return;
   }
-  this->RunAt(receiver, message);
+  this->Receive(*connection, direction, message);
 }
 
 ConnectionPtr ModelNetwork::ConnectionFor(int client, int server) {
--- a/tests/fuzz/model_network.h
+++ b/tests/fuzz/model_network.h
@@ -28,10 +28,13 @@
   int zone = 0;
   bool alive = true;
   std::uint64_t process = 1;  // Number of the current process.
+  TimePoint frozen_since = kSimulationStart;
   TimePoint frozen_until = kSimulationStart;
   // By how much the process's clock is behind after suspensions.
   Duration clock_lag = Duration::zero();
   std::deque<std::function<void()>> unread;  // Lies in the sockets.
+  // Lies in connections that the process has not accepted yet.
+  std::deque<std::function<void()>> unaccepted;
 };
 
 enum class CallError { kTimeout, kClosed, kConnectFailed };
@@ -63,9 +66,12 @@
   bool connected = false;
   bool draining = false;  // Accepts no new calls.
   bool closed = false;    // The client has closed it.
+  TimePoint opened_at;
   std::map<std::uint64_t, PendingCall> calls;
   // By direction: what has been sent and not yet delivered.
   std::array<std::deque<std::function<void()>>, 2> in_flight;
+  // By direction: TCP has found no way and sends again after the cut.
+  std::array<bool, 2> blocked{};
 };
 
 using ConnectionPtr = std::shared_ptr<ModelConnection>;
@@ -94,6 +100,8 @@
 
   // Cuts a zone off from all others.
   void CutZone(int zone, Duration length);
+  // Cuts two hosts off from each other.
+  void CutLink(int a, int b, Duration length);
   bool IsCut(int a, int b) const;
 
   // Freezes a process. `clock_stops`: its clock stands still meanwhile.
@@ -130,13 +138,18 @@
   void BeginConnect(const ConnectionPtr& connection);
   void SendCall(const ConnectionPtr& connection, std::uint64_t id);
   void Deliver(const ConnectionPtr& connection, Direction direction);
+  void Retransmit(const ConnectionPtr& connection, Direction direction);
   void OnCallTimeout(const ConnectionPtr& connection, std::uint64_t id);
   void FinishCall(const ConnectionPtr& connection, std::uint64_t id,
                   const ReplyFunction& reply);
   void FailConnection(const ConnectionPtr& connection, CallError error);
   static void Close(const ConnectionPtr& connection);
   TimePoint EndOfCut(int a, int b) const;
+  bool IsUnaccepted(const ModelConnection& connection) const;
+  void Receive(const ModelConnection& connection, Direction direction,
+               const std::function<void()>& message);
   void Drain(int host);
+  void Accept(int host);
   void RunTimer(int host, std::uint64_t process, TimePoint due,
                 const std::function<void()>& run);
   void NotifyBroken(const ConnectionPtr& connection);
@@ -144,6 +157,7 @@
   VirtualTime* time;
   std::vector<ModelHost> hosts;
   std::map<int, TimePoint> zone_cut_until;
+  std::map<std::pair<int, int>, TimePoint> link_cut_until;
   // Those of Call, by client and server, and those of Open.
   std::map<std::pair<int, int>, std::vector<ConnectionPtr>> connections;
   std::vector<std::pair<ConnectionPtr, std::function<void()>>> opened;
--- a/tests/fuzz/request_path_test.cc
+++ b/tests/fuzz/request_path_test.cc
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <numeric>
@@ -35,6 +36,8 @@
 constexpr milliseconds kFirstJob{1500};
 constexpr int kShortestJobIntervalMs = 60;
 constexpr int kLongestJobIntervalMs = 240;
+// With the heavier load jobs queue.
+constexpr int kHeavyLoadFactor = 2;
 constexpr milliseconds kLoadTime{20'000};
 constexpr milliseconds kSimulationTime{36'000};
 // How long a caller waits for an answer, and after how long it sends a job
@@ -52,6 +55,7 @@
 // Kinds of faults. Faults of one kind recur at random intervals.
 struct PathFaults {
   bool cuts = false;         // Of a zone from the others, for 2 to 6 s.
+  bool links = false;        // Of a daemon from a worker, for 0.3 to 4 s.
   bool freezes = false;      // Of a daemon's process, for 0.2 to 4 s.
   bool suspensions = false;  // The same with its clock.
   bool kills = false;        // Of a daemon's process, which starts again.
@@ -67,6 +71,9 @@
   bool answered = false;
   StepJobOutcome outcome = StepJobOutcome::kMoved;
   ConnectionPtr connection;
+  // The connection to the daemon existed when the request was sent. Otherwise a
+  // caller that leaves during a cut leaves nothing that arrives after it.
+  bool established = true;
   int daemon = 0;
 };
 
@@ -87,6 +94,7 @@
                                       const std::string& event) {
       this->Trace(job, event);
     };
+    this->heavy_load = this->time.Pick(3) == 0;
     this->AddHosts();
   }
 
@@ -109,11 +117,20 @@
   }
 
  private:
+  struct DelayedReply {
+    TimePoint until;
+    std::function<void()> reply;
+  };
+
   struct ModelWorker {
     fakes::LeaseWorker state;
     WorkerDescription description;
     int host = 0;
     double clock_rate = 1;
+    // Replies to renewals that wait for the end of a run.
+    std::vector<DelayedReply> delayed;
+    // Latest orders and their results, for the messages of failed checks.
+    std::deque<std::string> trace;
   };
 
   // ---- Setup ----
@@ -172,6 +189,14 @@
     }
   }
 
+  void TraceWorker(int w, const std::string& event) {
+    constexpr std::size_t kMostLines = 40;
+    std::deque<std::string>& lines = this->workers[w].trace;
+    lines.push_back(
+        fmt::format("  {} ms: w{}: {}\n", this->time.Milliseconds(), w, event));
+    if (lines.size() > kMostLines) lines.pop_front();
+  }
+
   // ---- Workers ----
 
   WorkerTime ClockOfWorker(const ModelWorker& worker) const {
@@ -187,14 +212,28 @@
     }
   }
 
+  // Sends the delayed replies that are due.
+  void SendDelayedReplies(ModelWorker* worker) {
+    std::vector<DelayedReply> delayed = std::exchange(worker->delayed, {});
+    for (DelayedReply& entry : delayed) {
+      if (worker->state.ended.empty() && this->time.Now() < entry.until) {
+        worker->delayed.push_back(std::move(entry));
+      } else {
+        entry.reply();
+      }
+    }
+  }
+
   void TickWorkers() {
     this->AdvanceWorkers();
+    for (ModelWorker& worker : this->workers) this->SendDelayedReplies(&worker);
     this->time.After(milliseconds(5), [this] { this->TickWorkers(); });
   }
 
   // Records two runs of the task at one time.
   void CheckTask(const TaskName& task) {
     std::string found;
+    std::string orders;
     int runs = 0;
     for (const ModelWorker& worker : this->workers) {
       const auto run = worker.state.running.find(task);
@@ -202,23 +241,25 @@
       ++runs;
       found +=
           fmt::format(" run {} on {}", run->second.run, worker.description.id);
+      for (const std::string& line : worker.trace) orders += line;
     }
     if (runs < 2) return;
     this->Trace(task.job,
                 fmt::format("TWO RUNS of task {}:{}", task.index, found));
-    if (this->violated_jobs.insert(task.job).second) {
-      this->violations.push_back(
-          fmt::format("job {}\n{}  faults and schedulers:\n{}", task.job,
-                      this->traces[task.job], this->common_trace));
-    }
+    if (!this->violated_jobs.insert(task.job).second) return;
+    this->violations.push_back(fmt::format(
+        "job {}\n{}  orders to these workers:\n{}  faults and schedulers:\n{}",
+        task.job, this->traces[task.job], orders, this->common_trace));
   }
 
   // Sends an order to a worker on a connection of its own. The daemon gives it
-  // up after `timeout` and then resets the connection.
+  // up after `timeout` and then resets the connection. `process_order` applies
+  // the order, and replies then or later.
   template <typename Reply>
-  void Exchange(ModelDaemon* daemon, int w, milliseconds timeout,
-                std::function<Reply()> process_order,
-                std::function<void(const Reply&)> receive) {
+  void Exchange(
+      ModelDaemon* daemon, int w, milliseconds timeout,
+      std::function<void(std::function<void(const Reply&)>)> process_order,
+      std::function<void(const Reply&)> receive) {
     const ConnectionPtr connection =
         this->network.Open(daemon->host, this->workers[w].host);
     const auto finish = [daemon, connection, receive](const Reply& reply) {
@@ -235,13 +276,16 @@
     if (fault < 0.005) return;
     const bool late = fault < 0.01;
     const bool reply_lost = fault < 0.02;
-    const auto process = [this, connection, reply_lost, process_order, finish] {
-      this->AdvanceWorkers();
-      const Reply reply = process_order();
+    const auto respond = [this, connection, reply_lost,
+                          finish](const Reply& reply) {
       if (reply_lost) return;
       this->network.Send(connection, Direction::kToClient,
                          [finish, reply] { finish(reply); });
     };
+    const auto process = [this, process_order, respond] {
+      this->AdvanceWorkers();
+      process_order(respond);
+    };
     if (late) {
       this->time.After(this->time.Between(500, 6000), process);
     } else {
@@ -279,7 +323,8 @@
                     action.order.task.index, action.order.run, action.worker));
     this->Exchange<OrderReply>(
         daemon, w, kOrderTimeout,
-        [this, w, vm, order = action.order, run_time] {
+        [this, w, vm, order = action.order,
+         run_time](const std::function<void(const OrderReply&)>& respond) {
           fakes::LeaseWorkerRun run;
           run.completes_at = this->workers[w].state.now + run_time;
           const OrderReply reply =
@@ -291,7 +336,7 @@
                           w, order.task.index, order.run, vm, run_time.count(),
                           order.fence, this->Outcome(reply)));
           this->CheckTask(order.task);
-          return reply;
+          respond(reply);
         },
         [daemon, action](const OrderReply& reply) {
           RecordStartReply(&daemon->scheduler, action.worker, action.order,
@@ -303,13 +348,14 @@
     const int w = this->WorkerIndex(action.worker);
     this->Exchange<OrderReply>(
         daemon, w, kOrderTimeout,
-        [this, w, vm = daemon->election.self.vm, order = action.order] {
+        [this, w, vm = daemon->election.self.vm, order = action.order](
+            const std::function<void(const OrderReply&)>& respond) {
           const OrderReply reply = fakes::Stop(&this->workers[w].state, order);
           this->Trace(order.task.job,
                       fmt::format("w{}: stop of task {} run {} from {}: {}", w,
                                   order.task.index, order.run, vm,
                                   this->Outcome(reply)));
-          return reply;
+          respond(reply);
         },
         [daemon, action](const OrderReply& reply) {
           RecordStopReply(&daemon->scheduler, action.worker, action.order,
@@ -317,14 +363,44 @@
         });
   }
 
+  // Extends the leases now. A reply that may wait is sent when a run has ended.
+  void ProcessRenewal(int w, const std::string& vm, const RenewOrder& order,
+                      const std::function<void(const RenewReply&)>& respond) {
+    ModelWorker* worker = &this->workers[w];
+    const RenewReply reply = fakes::Renew(&worker->state, order);
+    this->TraceWorker(
+        w, fmt::format("renewal {} of {} until {}: {}, now {}, lease {}",
+                       order.id, vm, order.lease_end.count(),
+                       this->Outcome(reply), worker->state.now.count(),
+                       worker->state.lease_end.count()));
+    const auto* report = std::get_if<WorkerReport>(&reply);
+    if (report == nullptr || !report->ended.empty() ||
+        order.wait == milliseconds(0)) {
+      respond(reply);
+      return;
+    }
+    RenewOrder again = order;
+    again.lease_end = WorkerTime(0);
+    worker->delayed.push_back(
+        {this->time.Now() + order.wait, [worker, again, respond] {
+           respond(fakes::Renew(&worker->state, again));
+         }});
+  }
+
   void SendRenewOrder(ModelDaemon* daemon, const SendRenewal& action) {
     const int w = this->WorkerIndex(action.worker);
+    const std::string vm = daemon->election.self.vm;
     this->Exchange<RenewReply>(
         daemon, w, action.order.wait + kRenewalTimeoutMargin,
-        [this, w, order = action.order] {
-          return fakes::Renew(&this->workers[w].state, order);
+        [this, w, vm, order = action.order](
+            const std::function<void(const RenewReply&)>& respond) {
+          this->ProcessRenewal(w, vm, order, respond);
         },
-        [daemon, action](const RenewReply& reply) {
+        [this, daemon, w, vm, action](const RenewReply& reply) {
+          if (std::holds_alternative<OrderUnanswered>(reply)) {
+            this->TraceWorker(w, fmt::format("renewal {} of {} unanswered",
+                                             action.order.id, vm));
+          }
           RecordRenewalReply(&daemon->scheduler, action.worker, action.order,
                              reply, daemon->Now());
         });
@@ -375,6 +451,8 @@
     job->daemon = this->PickDaemon(*job);
     const int host = this->caller_hosts[job->zone];
     job->connection = this->network.Open(host, job->daemon);
+    job->established =
+        !this->network.IsCut(host, job->daemon) || this->time.Pick(2) == 0;
     this->Trace(id, fmt::format("caller: attempt {} to d{}, waits {} ms",
                                 attempt, job->daemon, job->timeout.count()));
     const auto broken = [this, id, attempt] {
@@ -437,14 +515,21 @@
                      [this, id] { this->SendAttempt(id); });
   }
 
+  // The daemon receives the end of the connection, and notices it later.
   void NotifyAbort(const CallerJob& job, int attempt) {
+    if (!job.established) {
+      ModelNetwork::Discard(job.connection, Direction::kToServer);
+      return;
+    }
     const milliseconds notice = this->time.Between(0, kLongestAbortNoticeMs);
-    ModelDaemon* daemon = this->daemons[job.daemon];
-    this->time.After(notice, [this, connection = job.connection, daemon,
-                              id = job.job.id, attempt] {
-      this->network.Send(connection, Direction::kToServer,
-                         [daemon, id, attempt] { daemon->Abort(id, attempt); });
-    });
+    this->network.Send(job.connection, Direction::kToServer,
+                       [this, daemon = this->daemons[job.daemon],
+                        id = job.job.id, attempt, notice] {
+                         this->network.Schedule(daemon->host, notice,
+                                                [daemon, id, attempt] {
+                                                  daemon->Abort(id, attempt);
+                                                });
+                       });
   }
 
   // ---- Faults ----
@@ -462,6 +547,7 @@
 
   void PlanFaults() {
     this->Repeat(this->faults.cuts, 4000, 9000, [this] { this->CutZone(); });
+    this->Repeat(this->faults.links, 200, 1200, [this] { this->CutLink(); });
     this->Repeat(this->faults.freezes, 1000, 4000,
                  [this] { this->FreezeDaemon(false); });
     this->Repeat(this->faults.suspensions, 1000, 4000,
@@ -480,6 +566,15 @@
     this->network.CutZone(zone, length);
   }
 
+  void CutLink() {
+    const int d = this->PickDaemonForFault();
+    const int w = this->time.Pick(kZones * kWorkersPerZone);
+    const milliseconds length = this->time.Between(300, 4000);
+    this->Trace(
+        "", fmt::format("cut of d{} from w{} for {} ms", d, w, length.count()));
+    this->network.CutLink(d, this->workers[w].host, length);
+  }
+
   // Picks the scheduler half the time.
   int PickDaemonForFault() {
     const int any = this->time.Pick(kZones * kDaemonsPerZone);
@@ -532,6 +627,7 @@
   VirtualTime time;
   ModelNetwork network;
   PathFaults faults;
+  bool heavy_load = false;
   ModelSurroundings surroundings;
   std::vector<ListedDaemon> listed;
   std::vector<ModelWorker> workers;
@@ -598,8 +694,16 @@
                          RequestPathFuzz::FirstSeeds({}));
 INSTANTIATE_TEST_SUITE_P(Cuts, RequestPathFuzz,
                          RequestPathFuzz::FirstSeeds({.cuts = true}));
+INSTANTIATE_TEST_SUITE_P(Links, RequestPathFuzz,
+                         RequestPathFuzz::FirstSeeds({.links = true}));
 INSTANTIATE_TEST_SUITE_P(Freezes, RequestPathFuzz,
                          RequestPathFuzz::FirstSeeds({.freezes = true}));
+INSTANTIATE_TEST_SUITE_P(FreezesAndLinks, RequestPathFuzz,
+                         RequestPathFuzz::FirstSeeds({.links = true,
+                                                      .freezes = true}));
+INSTANTIATE_TEST_SUITE_P(SuspensionsAndLinks, RequestPathFuzz,
+                         RequestPathFuzz::FirstSeeds({.links = true,
+                                                      .suspensions = true}));
 INSTANTIATE_TEST_SUITE_P(Suspensions, RequestPathFuzz,
                          RequestPathFuzz::FirstSeeds({.suspensions = true}));
 INSTANTIATE_TEST_SUITE_P(Kills, RequestPathFuzz,
@@ -608,6 +712,7 @@
                          RequestPathFuzz::FirstSeeds({.resets = true}));
 INSTANTIATE_TEST_SUITE_P(AllFaults, RequestPathFuzz,
                          RequestPathFuzz::FirstSeeds({.cuts = true,
+                                                      .links = true,
                                                       .freezes = true,
                                                       .suspensions = true,
                                                       .kills = true,
