--- a/tests/fuzz/model_daemon.cc
+++ b/tests/fuzz/model_daemon.cc
@@ -34,10 +34,14 @@
          outcome != StepJobOutcome::kNotAccepted;
 }
 
-// Returns the time of day, which all hosts share, or a time on a daemon's clock
-// as its heartbeats name it.
-milliseconds ReportTime(TimePoint now) {
-  return std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+// Returns the time of day, which all hosts share.
+milliseconds TimeOfDay(TimePoint now) {
+  return std::chrono::floor<milliseconds>(now.time_since_epoch());
+}
+
+// Returns a time on a daemon's clock as its heartbeats name it.
+DaemonTime ReportTime(TimePoint now) {
+  return std::chrono::floor<milliseconds>(now);
 }
 
 }  // namespace
@@ -624,7 +628,7 @@
   const bool any_newly_reachable = this->UpdateReachability();
   const std::string former = this->election.leader;
   const ElectionChange change = RunElection(&this->election, this->Now(),
-                                            internal::ReportTime(this->Now()));
+                                            internal::TimeOfDay(this->Now()));
   this->ApplyRole();
   const bool may_claim =
       any_newly_reachable || change.last_other_scheduler_ended;
