tests: free ports and a real wait in platform_odd_entries

The test failed twice in 17 runs. In the other run the first entry was missing, because the wait for the fake platform ended at once: platform_control always succeeds.

Change: ports that no other test uses, and a wait for an answer with content.

--- a/tests/process/platform_odd_entries.sh
+++ b/tests/process/platform_odd_entries.sh
@@ -11,7 +11,7 @@
 # worker_entry MEMBER JSON: prints a worker's entry in which MEMBER has the value
 # JSON, or is missing if JSON is empty.
 worker_entry() {
-  local -A members=([service]='"desk"' [address]='"127.0.0.1:21197"' [zone]='"heredia"'
+  local -A members=([service]='"desk"' [address]='"127.0.0.1:26597"' [zone]='"heredia"'
     [version]='"v1"' [slots]=8 [state]='"ready"' [coldLeftMs]=0
     [capacity]='{"cpu":16000,"memMb":32768,"gpu":0}' [labels]='["a","r1-1"]'
     [born]=1733388000000 [seq]=1)
@@ -54,6 +54,9 @@
   ids+=("$1-bytes" "$1-arrays" "$1-objects")
 }
 
+# platform_responds: succeeds if the fake platform answers a control command.
+platform_responds() { [ -n "$(platform_stat starts)" ]; }
+
 # logged NAME ID: prints how often the daemon has logged the entry as unreadable.
 logged() { grep -c "event=worker_record_unreadable worker=$2 " "$run_dir/$1.log"; }
 
@@ -74,10 +77,10 @@
   done
 }
 
-start_fake_platform 21100 48
-ports=(21200 21210 21220)
+start_fake_platform 26500 48
+ports=(26600 26610 26620)
 names=(heredia-1 cartago-1 sanjose-1)
-wait_until 5 platform_control '{}' >/dev/null || exit 1
+wait_until 5 platform_responds 2>/dev/null || exit 1
 put_odd_entries listed
 listed=("${ids[@]}")
 for i in 0 1 2; do
@@ -105,7 +108,7 @@
 platform_control '{"worker":2,"draining":true}' >/dev/null
 wait_until 8 draining_seen 3
 expect "exit code of the wait for the change after the new list" $? = 0
-line=$(platform_load --rate 15 --duration 3 127.0.0.1:21200 127.0.0.1:21210 127.0.0.1:21220)
+line=$(platform_load --rate 15 --duration 3 127.0.0.1:26600 127.0.0.1:26610 127.0.0.1:26620)
 echo "$line"
 expect "jobs sent" "$(load_count "$line" sent)" -ge 35
 expect "jobs completed" "$(load_count "$line" completed)" = "$(load_count "$line" sent)"
