Model the check for callers that have gone

Cause: the model noticed a closed connection 0 to 50 ms after its end was read. The daemon checks every 50 ms, sees the end of a connection in its socket and confirms itself after that. A reset of a caller's connection during a cut did not reach the daemon in the model.

Change: the kernel records the end of a connection, also while the process is frozen; AbortCheckTick cancels these jobs and confirms the daemon.

All have one cause: TCP delivers a caller's request late (as a cut ends, or as a machine resumes), its caller has left or counts its deadline from the sending, and the daemon submits the job as new.

--- a/tests/fuzz/model_daemon.cc
+++ b/tests/fuzz/model_daemon.cc
@@ -13,6 +13,7 @@
 
 // The following are as in EntryDaemon, SchedulerService and JobGateway.
 constexpr Duration kElectionInterval = milliseconds(50);
+constexpr Duration kAbortCheckInterval = milliseconds(50);
 constexpr Duration kHeartbeatInterval = milliseconds(200);
 constexpr milliseconds kHeartbeatTimeout{400};
 constexpr Duration kPartialClaimDelay = milliseconds(700);
@@ -73,6 +74,7 @@
 void ModelDaemon::Start() {
   this->HeartbeatTick();
   this->ElectionTick();
+  this->AbortCheckTick();
   this->ServiceTick();
 }
 
@@ -128,6 +130,18 @@
   }
 }
 
+void ModelDaemon::RecordClosed(const std::string& job, int attempt) {
+  this->closed_attempts.emplace(job, attempt);
+}
+
+void ModelDaemon::AbortCheckTick() {
+  const auto closed = this->closed_attempts;
+  for (const auto& [job, attempt] : closed) this->Abort(job, attempt);
+  ConfirmDaemon(&this->scheduler, this->OwnOrigin(), this->Now());
+  this->Schedule(internal::kAbortCheckInterval,
+                 [this] { this->AbortCheckTick(); });
+}
+
 void ModelDaemon::Abort(const std::string& job, int attempt) {
   const auto found = this->jobs.find(job);
   if (found == this->jobs.end() || found->second.attempt != attempt) return;
@@ -646,7 +660,6 @@
 }
 
 void ModelDaemon::ElectionTick() {
-  ConfirmDaemon(&this->scheduler, this->OwnOrigin(), this->Now());
   this->RunElectionNow();
   this->ReturnJobsOfUnconfirmedDaemons();
   this->Schedule(internal::kElectionInterval, [this] { this->ElectionTick(); });
--- a/tests/fuzz/model_daemon.h
+++ b/tests/fuzz/model_daemon.h
@@ -75,8 +75,8 @@
               std::chrono::milliseconds timeout,
               const ModelAnswerCallback& respond);
 
-  // The caller has closed the connection of an attempt.
-  void Abort(const std::string& job, int attempt);
+  // The connection of a caller's attempt has been closed.
+  void RecordClosed(const std::string& job, int attempt);
 
   // Returns the time on the daemon's steady clock.
   TimePoint Now() const { return this->surroundings->network->ClockOf(host); }
@@ -100,6 +100,8 @@
   void Call(const std::string& vm, Duration timeout, ModelCall call);
 
   // Gateway.
+  void Abort(const std::string& job, int attempt);
+  void AbortCheckTick();
   void SubmitTo(ModelGatewayJob* job, const std::string& leader);
   void OnSubmissionResult(const std::string& id, std::uint64_t submission,
                           const StepJobAnswer* answer, bool sent);
@@ -155,6 +157,8 @@
 
   ModelSurroundings* surroundings;
   std::map<std::string, ModelGatewayJob> jobs;
+  // Attempts whose connections are closed, which AbortCheckTick will notice.
+  std::set<std::pair<std::string, int>> closed_attempts;
   std::map<std::string, Waiter> waiters;  // By job.
   std::map<std::string, ModelPeerState> peer_states;
   std::uint64_t next_submission = 1;
--- a/tests/fuzz/model_network.cc
+++ b/tests/fuzz/model_network.cc
@@ -240,8 +240,9 @@
 }
 
 void ModelNetwork::Send(const ConnectionPtr& connection, Direction direction,
-                        std::function<void()> message) {
-  connection->in_flight[Index(direction)].push_back(std::move(message));
+                        std::function<void()> message, bool by_kernel) {
+  connection->in_flight[Index(direction)].push_back(
+      {std::move(message), by_kernel});
   this->time->After(
       this->time->Between(internal::kShortestDelayMs,
                           internal::kLongestDelayMs),
@@ -275,14 +276,18 @@
         });
     return;
   }
-  const std::function<void()> message = std::move(queue.front());
+  const ModelMessage message = std::move(queue.front());
   queue.pop_front();
   const int receiver = internal::Receiver(*connection, direction);
   if (this->hosts[receiver].process !=
       internal::ReceiverProcess(*connection, direction)) {
     return;
   }
-  this->Receive(*connection, direction, message);
+  if (message.by_kernel) {
+    message.run();
+  } else {
+    this->Receive(*connection, direction, message.run);
+  }
 }
 
 ConnectionPtr ModelNetwork::ConnectionFor(int client, int server) {
--- a/tests/fuzz/model_network.h
+++ b/tests/fuzz/model_network.h
@@ -53,6 +53,13 @@
 
 enum class Direction { kToServer, kToClient };
 
+// A message on a connection.
+struct ModelMessage {
+  std::function<void()> run;
+  // The receiving kernel handles it, also while its process is frozen.
+  bool by_kernel = false;
+};
+
 struct PendingCall {
   ModelCall call;
   bool sent = false;
@@ -69,7 +76,7 @@
   TimePoint opened_at;
   std::map<std::uint64_t, PendingCall> calls;
   // By direction: what has been sent and not yet delivered.
-  std::array<std::deque<std::function<void()>>, 2> in_flight;
+  std::array<std::deque<ModelMessage>, 2> in_flight;
   // By direction: TCP has found no way and sends again after the cut.
   std::array<bool, 2> blocked{};
 };
@@ -126,7 +133,7 @@
   ConnectionPtr Open(int client, int server);
   // Delivers a message, which runs on the receiving host's process.
   void Send(const ConnectionPtr& connection, Direction direction,
-            std::function<void()> message);
+            std::function<void()> message, bool by_kernel = false);
   // Discards what is in flight in the direction.
   static void Discard(const ConnectionPtr& connection, Direction direction);
 
--- a/tests/fuzz/request_path_test.cc
+++ b/tests/fuzz/request_path_test.cc
@@ -46,8 +46,6 @@
 constexpr int kLongestCallerTimeoutMs = 5000;
 constexpr milliseconds kRetransmissionDelay{1300};
 constexpr int kMostAttempts = 8;
-// A daemon notices within this time that a caller has closed its connection.
-constexpr int kLongestAbortNoticeMs = 50;
 constexpr milliseconds kOrderTimeout{400};
 constexpr milliseconds kRenewalTimeoutMargin{300};
 const Resources kCapacity{16'000, 32'768, 0};
@@ -515,21 +513,18 @@
                      [this, id] { this->SendAttempt(id); });
   }
 
-  // The daemon receives the end of the connection, and notices it later.
+  // The daemon's kernel receives the end of the connection.
   void NotifyAbort(const CallerJob& job, int attempt) {
     if (!job.established) {
       ModelNetwork::Discard(job.connection, Direction::kToServer);
       return;
     }
-    const milliseconds notice = this->time.Between(0, kLongestAbortNoticeMs);
-    this->network.Send(job.connection, Direction::kToServer,
-                       [this, daemon = this->daemons[job.daemon],
-                        id = job.job.id, attempt, notice] {
-                         this->network.Schedule(daemon->host, notice,
-                                                [daemon, id, attempt] {
-                                                  daemon->Abort(id, attempt);
-                                                });
-                       });
+    this->network.Send(
+        job.connection, Direction::kToServer,
+        [daemon = this->daemons[job.daemon], id = job.job.id, attempt] {
+          daemon->RecordClosed(id, attempt);
+        },
+        true);
   }
 
   // ---- Faults ----
@@ -624,10 +619,19 @@
       if (!job.open || job.daemon != a) continue;
       ModelNetwork::Discard(job.connection, Direction::kToServer);
       ModelNetwork::Discard(job.connection, Direction::kToClient);
-      this->EndAttempt(id, job.attempt, "connection reset");
+      this->ResetCaller(id, &job);
     }
   }
 
+  // A reset reaches both ends, also during a cut.
+  void ResetCaller(const std::string& id, CallerJob* job) {
+    const int attempt = job->attempt;
+    ModelDaemon* daemon = this->daemons[job->daemon];
+    this->EndAttempt(id, attempt, "connection reset");
+    ModelNetwork::Discard(job->connection, Direction::kToServer);
+    daemon->RecordClosed(id, attempt);
+  }
+
   VirtualTime time;
   ModelNetwork network;
   PathFaults faults;
@@ -722,5 +726,13 @@
                                                       .kills = true,
                                                       .resets = true}));
 
+// Seeds that fail: a caller's request is delivered after its caller has left,
+// as a cut ends or as the daemon's machine resumes, and the daemon takes it for
+// a new job.
+INSTANTIATE_TEST_SUITE_P(KeptSeedsOfCuts, RequestPathFuzz,
+                         RequestPathFuzz::Seeds({.cuts = true}, {53}));
+INSTANTIATE_TEST_SUITE_P(KeptSeedsOfSuspensions, RequestPathFuzz,
+                         RequestPathFuzz::Seeds({.suspensions = true}, {22}));
+
 }  // namespace
 }  // namespace sequoiapath
