--- a/packages/coordination/src/worker_crashes.cc
+++ b/packages/coordination/src/worker_crashes.cc
@@ -123,8 +123,9 @@
 void KeepUnansweredRuns(WorkerRuns* worker,
                         const std::vector<EndedRun>& ended) {
   if (worker->unanswered_renewals == 0) return;
-  for (const EndedRun& end : ended)
+  for (const EndedRun& end : ended) {
     worker->unanswered_tasks.push_back(end.task);
+  }
 }
 
 bool IsSuspect(const TaskScheduler& scheduler, const TaskName& task) {
