--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -328,8 +328,17 @@
 }
 
 void SchedulerService::MergeCrashes(const TaskCrashes& crashes) {
+  const CrashHistory& history = this->state->scheduler.crashes;
+  const std::uint64_t before = history.last_sequence;
   sequoiapath::MergeCrashes(&this->state->scheduler, crashes.crashes,
                             crashes.origin, this->state->loop->Now());
+  if (history.last_sequence != before) {
+    Log(LogLevel::kInfo, "crashes_merged",
+        {{"daemon", crashes.origin},
+         {"received", crashes.crashes.size()},
+         {"new", history.last_sequence - before},
+         {"known", history.records.size()}});
+  }
   internal::ScheduleSchedulerRun(this->state.get());
 }
 
--- a/tests/fuzz/crashing_task_test.cc
+++ b/tests/fuzz/crashing_task_test.cc
@@ -171,8 +171,9 @@
       this->After(this->Between(5, 60), [this, w, order] {
         const auto& running_now = this->workers[w].lease.running;
         const auto found = running_now.find(order.task);
-        if (found == running_now.end() || found->second.run != order.run)
+        if (found == running_now.end() || found->second.run != order.run) {
           return;
+        }
         ++this->tasks[order.task].crashes;
         this->Crash(w);
       });
@@ -331,7 +332,8 @@
         job.outcome = StepJobOutcome::kExpired;
         continue;
       }
-      this->After(kCallerRetryDelay, [this, id] { this->Resubmit(id); });
+      this->After(kCallerRetryDelay,
+                  [this, lost = job.job.id] { this->Resubmit(lost); });
     }
   }
 
