--- a/tests/fuzz/model_network.cc
+++ b/tests/fuzz/model_network.cc
@@ -243,10 +243,13 @@
                         std::function<void()> message, bool by_kernel) {
   connection->in_flight[Index(direction)].push_back(
       {std::move(message), by_kernel});
-  this->time->After(
-      this->time->Between(internal::kShortestDelayMs,
-                          internal::kLongestDelayMs),
-      [this, connection, direction] { this->Deliver(connection, direction); });
+  const bool slow = this->time->Uniform() < internal::kSlowShare;
+  const milliseconds delay = this->time->Between(
+      internal::kShortestDelayMs,
+      slow ? internal::kLongestSlowDelayMs : internal::kLongestDelayMs);
+  this->time->After(delay, [this, connection, direction] {
+    this->Deliver(connection, direction);
+  });
 }
 
 void ModelNetwork::Discard(const ConnectionPtr& connection,
--- a/tests/fuzz/request_path_test.cc
+++ b/tests/fuzz/request_path_test.cc
@@ -730,9 +730,9 @@
 // as a cut ends or as the daemon's machine resumes, and the daemon takes it for
 // a new job.
 INSTANTIATE_TEST_SUITE_P(KeptSeedsOfCuts, RequestPathFuzz,
-                         RequestPathFuzz::Seeds({.cuts = true}, {53}));
+                         RequestPathFuzz::Seeds({.cuts = true}, {28}));
 INSTANTIATE_TEST_SUITE_P(KeptSeedsOfSuspensions, RequestPathFuzz,
-                         RequestPathFuzz::Seeds({.suspensions = true}, {22}));
+                         RequestPathFuzz::Seeds({.suspensions = true}, {20}));
 
 }  // namespace
 }  // namespace sequoiapath
