Drop a caller's request whose connection has already ended

Callers could see: TWICE. A machine is suspended or cut off, its caller gives up and sends the job to another daemon, and TCP delivers the first request, with the end of its connection right behind it.

Cause: the daemon submitted the job before the next check for callers that have gone, up to 50 ms later.

Change: the daemon asks for the end of the connection when it reads a request, and drops the request. A submission to a scheduler that names no claim gets a claim that none has, since zero marks submissions of earlier versions.

HttpResponderTest.RequestWhoseClientHasGoneIsClosed needs the new function.

Remains: a request that is late while its caller still waits.

--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -70,6 +70,8 @@
 // rounding. Workers shorten longer leases.
 constexpr milliseconds kLeaseMargin{50};
 constexpr int kRenewalsPerLease = 3;
+// A fencing token that no scheduler claims.
+constexpr FencingToken kNoClaim = 1;
 constexpr Duration kSuppressedLinesInterval = std::chrono::seconds(1);
 constexpr std::size_t kMaxCallerBody = 4u << 20;
 constexpr std::size_t kMaxPeerBody = 16u << 20;
@@ -605,7 +607,9 @@
   if (peer == daemon.election.peers.end()) return;
   const DaemonReport& report = peer->second.report;
   if (report.sent_at == DaemonTime{}) return;
-  job->scheduler_fence = report.claim;
+  // Zero would mark a submission of an earlier version, which counts as
+  // current.
+  job->scheduler_fence = std::max(report.claim, kNoClaim);
   job->heartbeat_sent_at = report.sent_at;
 }
 
@@ -849,6 +853,17 @@
   }
 }
 
+// Drops a request whose caller has left before it was read, because the caller
+// may have sent the job to another daemon.
+void HandleCaller(EntryDaemonState* daemon, const HttpRequest& request,
+                  const HttpResponder& responder) {
+  if (responder.CloseIfClientHasGone()) {
+    Log(LogLevel::kInfo, "caller_left_early", {{"path", request.path}});
+    return;
+  }
+  daemon->gateway->Handle(request, responder);
+}
+
 // Returns whether the daemon can accept a job and submit it to a scheduler.
 bool IsReady(const EntryDaemonState& daemon) {
   return !daemon.stopping && daemon.catalog.config_version > 0 &&
@@ -934,7 +949,7 @@
   return Listen(
       daemon, settings.caller_listen, kMaxCallerBody, kCallerTimeout,
       [daemon](const HttpRequest& request, const HttpResponder& responder) {
-        daemon->gateway->Handle(request, responder);
+        HandleCaller(daemon, request, responder);
       },
       &daemon->caller_server);
 }
--- a/packages/transport/include/sequoiapath/transport/http_server.h
+++ b/packages/transport/include/sequoiapath/transport/http_server.h
@@ -66,6 +66,12 @@
   // response starts.
   void OnAbort(std::function<void()> callback) const;
 
+  // Closes the connection if the client has already closed or reset it, as
+  // HttpServer::CloseAbortedConnections does, and returns whether it has. TCP
+  // may deliver a request late, with the end of its connection right behind it.
+  // Always false for HTTP/2. Loop thread only.
+  bool CloseIfClientHasGone() const;
+
  private:
   std::shared_ptr<internal::PendingExchange> exchange;
 };
--- a/packages/transport/src/http_server.cc
+++ b/packages/transport/src/http_server.cc
@@ -143,6 +143,19 @@
   if (exchange->on_abort) std::exchange(exchange->on_abort, nullptr)();
 }
 
+// Precondition: the exchange is unanswered.
+pollfd MakePollEntry(const PendingExchange& exchange) {
+  h2o_conn_t* connection = exchange.request->conn;
+  return {
+      .fd = h2o_socket_get_fd(connection->callbacks->get_socket(connection)),
+      .events = POLLRDHUP,
+      .revents = 0};
+}
+
+bool PeerHasGone(const pollfd& entry) {
+  return (entry.revents & (POLLRDHUP | POLLERR | POLLHUP)) != 0;
+}
+
 // Returns the server's unread exchanges whose peer has closed or reset its
 // connection. Data that has arrived is no sign of that and is not consumed.
 std::vector<std::shared_ptr<PendingExchange>> FindAbortedExchanges(
@@ -152,16 +165,13 @@
   for (PendingExchange* exchange : server.unread_exchanges) {
     // A write of the body detects that the peer has gone.
     if (exchange->stream != nullptr) continue;
-    h2o_conn_t* connection = exchange->request->conn;
-    const int fd =
-        h2o_socket_get_fd(connection->callbacks->get_socket(connection));
     exchanges.push_back(exchange);
-    sockets.push_back({.fd = fd, .events = POLLRDHUP, .revents = 0});
+    sockets.push_back(MakePollEntry(*exchange));
   }
   std::vector<std::shared_ptr<PendingExchange>> aborted;
   if (poll(sockets.data(), sockets.size(), 0) <= 0) return aborted;
   for (std::size_t i = 0; i < sockets.size(); ++i) {
-    if ((sockets[i].revents & (POLLRDHUP | POLLERR | POLLHUP)) == 0) continue;
+    if (!PeerHasGone(sockets[i])) continue;
     aborted.push_back(exchanges[i]->shared_from_this());
   }
   return aborted;
@@ -324,6 +334,18 @@
   this->exchange->on_abort = std::move(callback);
 }
 
+bool HttpResponder::CloseIfClientHasGone() const {
+  internal::PendingExchange* exchange = this->exchange.get();
+  if (exchange->request == nullptr ||
+      !exchange->server->unread_exchanges.contains(exchange)) {
+    return false;
+  }
+  pollfd entry = internal::MakePollEntry(*exchange);
+  if (poll(&entry, 1, 0) <= 0 || !internal::PeerHasGone(entry)) return false;
+  internal::AbortExchange(exchange);
+  return true;
+}
+
 HttpServer::HttpServer(std::unique_ptr<internal::HttpServerState> state)
     : state(std::move(state)) {}
 
--- a/tests/error/http_server_test.cc
+++ b/tests/error/http_server_test.cc
@@ -280,5 +280,29 @@
   EXPECT_TRUE(RunUntil(&this->loop, [&] { return answers == 1; }));
 }
 
+// Guards against a job that starts although its caller has sent it to another
+// daemon: TCP delivers the request late, and the end of its connection is right
+// behind it.
+TEST(HttpResponderTest, RequestWhoseClientHasGoneIsClosed) {
+  std::signal(SIGPIPE, SIG_IGN);
+  EventLoop loop;
+  std::vector<bool> closed;
+  const auto server = StartServer(
+      &loop, [&](const HttpRequest&, const HttpResponder& responder) {
+        closed.push_back(responder.CloseIfClientHasGone());
+        responder.Respond({.status = 200, .headers = {}, .body = "{}"});
+      });
+  RawClient gone(server->endpoint());
+  gone.SendRequest("/gone");
+  gone.Close();
+  ASSERT_TRUE(RunUntil(&loop, [&] { return closed.size() == 1; }));
+  RawClient waiting(server->endpoint());
+  waiting.SendRequest("/waiting");
+  ASSERT_TRUE(RunUntil(&loop, [&] { return closed.size() == 2; }));
+  EXPECT_EQ(closed, (std::vector<bool>{true, false}));
+  RunFor(&loop, milliseconds(20));
+  EXPECT_EQ(server->PendingRequests(), 0U);
+}
+
 }  // namespace
 }  // namespace sequoiapath
--- a/tests/fuzz/model_daemon.cc
+++ b/tests/fuzz/model_daemon.cc
@@ -102,6 +102,10 @@
 
 void ModelDaemon::Accept(const StepJob& job, int attempt, milliseconds timeout,
                          const ModelAnswerCallback& respond) {
+  if (this->closed_attempts.contains({job.id, attempt})) {
+    this->Trace(job.id, "caller left before its request was read");
+    return;
+  }
   const auto known = this->jobs.find(job.id);
   if (known != this->jobs.end()) {
     known->second.attempt = attempt;
