Fix lint findings and a test of the merged changes

Cause: members and parameters that the merged changes touched are copied where they could be moved or referenced (clang-tidy), and the test of a worker record without a clock wrote invalid JSON after the record's decoder had become stricter. Change: RemoveRun moves the run, SubmitToService takes the daemon by reference, and the test uses a record without the member; it checks the same values. Evidence: clang-tidy names both lines; PlatformStoreTest.DecodesTheClockInWorkerRecords failed with std::get: wrong index for variant.

--- a/packages/coordination/src/worker_runs.cc
+++ b/packages/coordination/src/worker_runs.cc
@@ -167,7 +167,7 @@
 WorkerRun RemoveRun(WorkerRuns* worker, const TaskName& task) {
   const auto found = worker->runs.find(task);
   assert(found != worker->runs.end());
-  const WorkerRun run = found->second;
+  WorkerRun run = std::move(found->second);
   worker->runs.erase(found);
   worker->used -= run.demand;
   if (run.orphan) --worker->orphans;
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -584,11 +584,10 @@
 
 // Submits a job to this daemon's scheduler. A job that another scheduler had
 // before waits for a list of the workers, which is requested at once.
-void SubmitToService(EntryDaemonState* daemon, StepJob job, std::string origin,
-                     StepJobCallback callback) {
+void SubmitToService(EntryDaemonState* daemon, StepJob job,
+                     const std::string& origin, StepJobCallback callback) {
   const bool resubmitted = job.generation > 0;
-  daemon->service->Submit(std::move(job), std::move(origin),
-                          std::move(callback));
+  daemon->service->Submit(std::move(job), origin, std::move(callback));
   if (resubmitted) {
     daemon->store->EndWatchPause(daemon->codecs.store.worker_prefix);
   }
--- a/tests/correctness/platform_adapter_test.cc
+++ b/tests/correctness/platform_adapter_test.cc
@@ -557,12 +557,12 @@
 }
 
 TEST(PlatformStoreTest, DecodesTheClockInWorkerRecords) {
-  const auto clock_in = [](const std::string& value) {
-    const auto worker = DecodeWorker(WorkerEntryWith("clockMs", value));
-    return std::get<WorkerDescription>(worker).clock;
+  const auto clock_in = [](const std::string& entry) {
+    return std::get<WorkerDescription>(DecodeWorker(entry)).clock;
   };
-  EXPECT_EQ(clock_in(""), std::nullopt);
-  EXPECT_EQ(clock_in("482113"), WorkerTime(482'113));
+  EXPECT_EQ(clock_in(WorkerEntryWith()), std::nullopt);
+  EXPECT_EQ(clock_in(WorkerEntryWith("clockMs", "482113")),
+            WorkerTime(482'113));
 }
 
 TEST(RouteTableTest, SelectsTheLongestPrefixOfTheHost) {
