Fix two lint findings in tests

Cause: clang-tidy reports a string concatenation and an unused capture. Change: the text is formatted, and the capture is removed; no check changes.

--- a/tests/correctness/platform_adapter_test.cc
+++ b/tests/correctness/platform_adapter_test.cc
@@ -1,6 +1,7 @@
 // Guards the adapter to the users' platform. It must decode and encode each
 // message as the platform's documentation specifies, and reject malformed ones.
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <nlohmann/json.hpp>
@@ -107,7 +108,7 @@
       content = value;
       replaced = true;
     }
-    if (!content.empty()) text += ",\"" + name + "\":" + content;
+    if (!content.empty()) text += fmt::format(",\"{}\":{}", name, content);
   }
   if (!replaced) text += ",\"" + member + "\":" + value;
   return "{" + text.substr(1) + "}";
--- a/tests/fuzz/request_path_test.cc
+++ b/tests/fuzz/request_path_test.cc
@@ -475,11 +475,11 @@
           connection, Direction::kToClient,
           [this, id, attempt, answer] { this->OnAnswer(id, attempt, answer); });
     };
-    this->network.Send(
-        connection, Direction::kToServer,
-        [this, daemon = this->daemons[job->daemon], copy = job->job, attempt,
-         timeout = job->timeout,
-         respond] { daemon->Accept(copy, attempt, timeout, respond); });
+    this->network.Send(connection, Direction::kToServer,
+                       [daemon = this->daemons[job->daemon], copy = job->job,
+                        attempt, timeout = job->timeout, respond] {
+                         daemon->Accept(copy, attempt, timeout, respond);
+                       });
   }
 
   void OnAnswer(const std::string& id, int attempt,
