--- a/tests/fuzz/request_path_test.cc
+++ b/tests/fuzz/request_path_test.cc
@@ -428,8 +428,10 @@
     this->jobs.emplace(id, std::move(job));
     this->SendAttempt(id);
     if (this->time.Now() < kSimulationStart + kLoadTime) {
+      const milliseconds interval =
+          this->time.Between(kShortestJobIntervalMs, kLongestJobIntervalMs);
       this->time.After(
-          this->time.Between(kShortestJobIntervalMs, kLongestJobIntervalMs),
+          this->heavy_load ? interval / kHeavyLoadFactor : interval,
           [this] { this->SendNewJob(); });
     }
   }
