Give platform_capacity its own ports

Cause: daemon_frozen uses ports 24400 to 24431 too, and ctest ran both at the same time, so the test's daemons could not listen.

--- a/tests/process/platform_capacity.sh
+++ b/tests/process/platform_capacity.sh
@@ -9,8 +9,8 @@
 source scripts/platform_lib.sh
 
 workers=9
-start_fake_platform 24300 $workers
-ports=(24400 24410 24420)
+start_fake_platform 26700 $workers
+ports=(26800 26810 26820)
 names=(heredia-1 cartago-1 sanjose-1)
 endpoints=()
 for i in "${!names[@]}"; do
