Reserve a worker for a suspect by its present capacity

A task under which a worker has crashed has to run alone; while all workers are busy, the scheduler keeps one free of further tasks. It chose that worker by the capacity of its record in the store. A worker whose reports show that it has become too small could be chosen in every pass, so that no other worker became empty and the suspect waited until its deadline.

The choice now uses CurrentCapacity, as placement does. In the new test WorkerThatHasShrunkIsNotReservedForASuspect the suspect had not run after 700 ms before the change; now it has.

--- a/packages/coordination/src/task_placement.cc
+++ b/packages/coordination/src/task_placement.cc
@@ -121,7 +121,7 @@
   for (PlacementCandidate& candidate : view->candidates) {
     const WorkerRuns& worker = *candidate.worker;
     if (candidate.free_milli_cores == 0 || !IsAllowed(worker, job, step) ||
-        !Fits(step.demand, worker.description.capacity)) {
+        !Fits(step.demand, CurrentCapacity(worker))) {
       continue;
     }
     if (fewest == nullptr || worker.runs.size() < fewest->worker->runs.size()) {
--- a/tests/correctness/worker_crashes_test.cc
+++ b/tests/correctness/worker_crashes_test.cc
@@ -200,6 +200,29 @@
   EXPECT_TRUE(this->answers.contains("j"));
 }
 
+// Guards against a suspect that waits for a worker that has become too small
+// for it, while other tasks fill the rest.
+TEST_F(WorkerCrashesTest, WorkerThatHasShrunkIsNotReservedForASuspect) {
+  this->workers.at("w0").capacity = Resources{3'500, 32'768, 0};
+  this->Run(milliseconds(100));
+  // Each worker runs one of these and always has room for another one.
+  StepJob single = Job("s", 100);
+  single.steps[0].demand.milli_cores = 500;
+  single.steps[0].max_per_worker = 1;
+  this->Submit(single);
+  // The others end one after another, so that no worker is ever empty.
+  for (int k = 0; k < 10; ++k) {
+    StepJob other = Job(fmt::format("k{}", k), k < 9 ? 2 : 200);
+    other.steps[0].demand.milli_cores = 2'500;
+    this->Submit(other);
+  }
+  MergeCrashes(&this->scheduler, {ReportedCrash("j", "x")}, "a/1", this->now);
+  this->Submit(Job("j", 1));
+  this->Run(milliseconds(700));
+  EXPECT_TRUE(this->answers.contains("j"));
+  EXPECT_FALSE(this->answers.contains("k9"));
+}
+
 // Guards against crashes that are not charged, or are charged to one task only.
 TEST_F(WorkerCrashesTest, CrashIsChargedToEveryTaskOfTheWorkerOnce) {
   this->Submit(Job("j", 1));
