--- a/tests/correctness/platform_adapter_test.cc
+++ b/tests/correctness/platform_adapter_test.cc
@@ -306,6 +306,22 @@
             (Resources{0, 8192, 0}));
 }
 
+// Guards against an amount in a report that is negative, or so large that sums
+// over the workers overflow.
+TEST(PlatformWorkersTest, UnusableAmountInAReportCountsAsZero) {
+  const WorkerCodec codec = platform::MakeWorkerCodec();
+  for (const char* amount :
+       {"-1", "1000000001", "9223372036854775807", "\"4000\""}) {
+    const auto reply = codec.decode_renew_reply(
+        Reply(200, fmt::format(R"({{"clockMs":1,"running":[],"ended":[],)"
+                               R"("capacity":{{"cpu":{},"memMb":8192}}}})",
+                               amount)));
+    const auto* report = std::get_if<WorkerReport>(&reply);
+    ASSERT_NE(report, nullptr) << amount;
+    EXPECT_EQ(report->capacity, (Resources{0, 8192, 0})) << amount;
+  }
+}
+
 // Guards against running tasks that the scheduler overlooks: a report with a
 // row that cannot be decoded must be rejected as a whole.
 TEST(PlatformWorkersTest, RejectsReportsWithMalformedRows) {
