Use one function to limit the nesting of JSON

The requests of callers and the platform's texts were scanned by two equal functions. IsNestedDeeperThan takes the limit as a parameter; both limits stay.

--- a/packages/protocol/src/job.cc
+++ b/packages/protocol/src/job.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "sequoiapath/protocol/json_nesting.h"
+
 namespace sequoiapath {
 namespace internal {
 namespace {
@@ -15,8 +17,7 @@
 constexpr double kMaxCores = 1 << 20;
 constexpr std::int64_t kMaxMemoryMb = std::int64_t{1} << 40;
 constexpr int kMaxAccelerators = 1 << 20;
-// Limits the nesting of a request. Encoding a payload recurses once per level,
-// so 40 MB of brackets would overflow the stack.
+// Maximum depth of nested arrays and objects in a request.
 constexpr int kMaxNesting = 128;
 // Limits the part of the request that an error message repeats.
 constexpr std::size_t kMaxRepeatedBytes = 64;
@@ -50,26 +51,6 @@
       .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-// Returns whether brackets outside strings are nested deeper than kMaxNesting.
-bool IsNestedTooDeeply(std::string_view text) {
-  int depth = 0;
-  bool in_string = false;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    const char c = text[i];
-    if (in_string) {
-      if (c == '\\') ++i;
-      if (c == '"') in_string = false;
-    } else if (c == '"') {
-      in_string = true;
-    } else if (c == '[' || c == '{') {
-      if (++depth > kMaxNesting) return true;
-    } else if (c == ']' || c == '}') {
-      --depth;
-    }
-  }
-  return false;
-}
-
 std::optional<std::string> ReadDemand(const Json& json, Demand* demand) {
   if (!json.is_object()) return "demand: expected an object";
   for (const auto& [key, value] : json.items()) {
@@ -239,7 +220,7 @@
 }
 
 Result<JobRequest> DecodeJobRequest(std::string_view body) {
-  if (internal::IsNestedTooDeeply(body)) {
+  if (IsNestedDeeperThan(internal::kMaxNesting, body)) {
     return internal::InvalidRequest(
         fmt::format("body: nested deeper than the allowed {} levels",
                     internal::kMaxNesting));
