Use VirtualTime in the tests of crashing tasks and capacities

Both had their own event queue and draws, equal to those of VirtualTime. The draws stay the same: the outcomes of all 20 seeds of CrashingTaskFuzz are equal before and after, and the 48 tests of WorkerCapacityFuzz pass.

--- a/tests/fuzz/crashing_task_test.cc
+++ b/tests/fuzz/crashing_task_test.cc
@@ -8,21 +8,18 @@
 #include <array>
 #include <functional>
 #include <map>
-#include <queue>
-#include <random>
 #include <set>
-#include <tuple>
 #include <vector>
 
 #include "sequoiapath/coordination/task_scheduler.h"
 #include "sequoiapath/fakes/lease_worker.h"
+#include "virtual_time.h"
 
 namespace sequoiapath {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr TimePoint kStart{std::chrono::hours(1)};
 constexpr int kWorkers = 24;
 constexpr int kSchedulers = 3;
 constexpr milliseconds kJobInterval{50};
@@ -37,18 +34,9 @@
 constexpr int kCrashesOfBudget = 3;
 constexpr int kStartsBeyondBudget = 3;
 
-struct Event {
-  TimePoint at;
-  std::uint64_t sequence = 0;
-  std::function<void()> run;
-  bool operator<(const Event& other) const {
-    return std::tie(at, sequence) > std::tie(other.at, other.sequence);
-  }
-};
-
 struct SimulatedWorker {
   fakes::LeaseWorker lease;
-  TimePoint clock_start = kStart;
+  TimePoint clock_start = kSimulationStart;
   bool down = false;
 };
 
@@ -70,9 +58,9 @@
   int starts_beyond = 0;  // After `kCrashesOfBudget` crashes.
 };
 
-class Simulation {
+class Simulation : public VirtualTime {
  public:
-  explicit Simulation(unsigned seed) : random(seed), workers(kWorkers) {
+  explicit Simulation(unsigned seed) : VirtualTime(seed), workers(kWorkers) {
     for (int s = 0; s < kSchedulers; ++s) {
       this->schedulers.emplace_back();
       for (int w = 0; w < kWorkers; ++w) {
@@ -92,13 +80,7 @@
       this->After(at, [this] { this->ReplaceScheduler(); });
     }
     this->Tick();
-    while (!this->events.empty() &&
-           this->events.top().at <= kStart + kSimulationTime) {
-      const Event event = this->events.top();
-      this->events.pop();
-      this->now = event.at;
-      event.run();
-    }
+    this->RunUntil(kSimulationStart + kSimulationTime);
   }
 
   std::map<std::string, SimulatedJob> jobs;
@@ -107,17 +89,6 @@
   int worker_crashes = 0;
 
  private:
-  int Pick(int count) {
-    return std::uniform_int_distribution<int>(0, count - 1)(this->random);
-  }
-  milliseconds Between(int low, int high) {
-    return milliseconds(
-        std::uniform_int_distribution<int>(low, high)(this->random));
-  }
-  void After(milliseconds delay, std::function<void()> run) {
-    this->events.push({this->now + delay, this->next_event++, std::move(run)});
-  }
-
   WorkerDescription Describe(int w) const {
     WorkerDescription worker;
     worker.id = fmt::format("w{}", w);
@@ -270,8 +241,8 @@
   }
   // Records an event of a job for the messages of failed checks.
   void Trace(const std::string& job, const std::string& event) {
-    this->traces[job] += fmt::format(
-        "  {} ms: {}\n", (this->now - kStart) / milliseconds(1), event);
+    this->traces[job] +=
+        fmt::format("  {} ms: {}\n", this->Milliseconds(), event);
   }
 
   // Sends the records that the other schedulers lack. One message in ten is
@@ -371,15 +342,11 @@
     this->RunPass(this->current);
   }
 
-  std::mt19937 random;
   std::vector<SimulatedWorker> workers;
   std::vector<TaskScheduler> schedulers;
   std::array<std::uint64_t, kSchedulers> last_crashes{};
   int current = 0;
   FencingToken fence = 1000;
-  TimePoint now = kStart;
-  std::priority_queue<Event> events;
-  std::uint64_t next_event = 0;
 };
 
 class CrashingTaskFuzz : public testing::TestWithParam<unsigned> {};
--- a/tests/fuzz/worker_capacity_test.cc
+++ b/tests/fuzz/worker_capacity_test.cc
@@ -9,19 +9,16 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
-#include <random>
-#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "sequoiapath/coordination/scheduler_election.h"
 #include "sequoiapath/coordination/task_scheduler.h"
 #include "sequoiapath/fakes/lease_worker.h"
+#include "virtual_time.h"
 
 namespace sequoiapath {
 namespace {
@@ -42,11 +39,11 @@
 constexpr milliseconds kSimulationTime{45'000};
 constexpr milliseconds kTick{10};
 constexpr milliseconds kStopTime{50};
+constexpr unsigned kSeedsInCi = 12;
 constexpr double kOrderLoss = 0.01;
 constexpr double kReplyLoss = 0.02;
 constexpr double kLateOrder = 0.01;
 constexpr double kHang = 0.02;
-constexpr TimePoint kStart{std::chrono::hours(1)};
 const Resources kFullCapacity{16'000, 32'768, 2};
 
 // What the workers' reports and records contain, and what else happens.
@@ -60,22 +57,13 @@
 
 struct SimulatedWorker {
   fakes::LeaseWorker lease_worker;
-  TimePoint clock_start = kStart;
+  TimePoint clock_start = kSimulationStart;
   double clock_rate = 1;
   // Times of changes of the capacity, and the capacity from then on.
   std::vector<std::pair<TimePoint, Resources>> capacities;
   WorkerDescription record;  // In the store.
 };
 
-struct Event {
-  TimePoint at;
-  std::uint64_t sequence;
-  std::function<void()> run;
-  bool operator<(const Event& other) const {
-    return std::tie(at, sequence) > std::tie(other.at, other.sequence);
-  }
-};
-
 struct SimulatedJob {
   StepJob job;
   TimePoint expires;
@@ -83,10 +71,10 @@
   bool completed = false;
 };
 
-class CapacitySimulation {
+class CapacitySimulation : public VirtualTime {
  public:
   CapacitySimulation(unsigned seed, CapacityWords words)
-      : random(seed), words(words) {
+      : VirtualTime(seed), words(words) {
     for (std::size_t w = 0; w < kWorkers; ++w) {
       SimulatedWorker& worker = this->workers[w];
       worker.lease_worker.stop_time = kStopTime;
@@ -104,19 +92,14 @@
       this->After(this->Between(0, 1500), [this, w] { this->Beat(w); });
       this->ChangeCapacityLater(w);
     }
-    for (TimePoint at = kStart; at < kStart + kLoadTime; at += kJobInterval) {
+    for (TimePoint at = kSimulationStart; at < kSimulationStart + kLoadTime;
+         at += kJobInterval) {
       this->At(at, [this] { this->SubmitNew(); });
     }
     this->ReplaceSchedulerLater();
     if (this->words.store_outages) this->BreakStoreLater();
-    this->At(kStart, [this] { this->Tick(); });
-    while (!this->events.empty() &&
-           this->events.top().at <= kStart + kSimulationTime) {
-      const Event event = this->events.top();
-      this->events.pop();
-      this->now = event.at;
-      event.run();
-    }
+    this->At(kSimulationStart, [this] { this->Tick(); });
+    this->RunUntil(kSimulationStart + kSimulationTime);
   }
 
   int starts = 0;
@@ -134,23 +117,6 @@
   std::size_t JobCount() const { return this->jobs.size(); }
 
  private:
-  double Uniform() {
-    return std::uniform_real_distribution<double>(0, 1)(this->random);
-  }
-  int Pick(int count) {
-    return std::uniform_int_distribution<int>(0, count - 1)(this->random);
-  }
-  milliseconds Between(int low, int high) {
-    return milliseconds(
-        std::uniform_int_distribution<int>(low, high)(this->random));
-  }
-  void At(TimePoint at, std::function<void()> run) {
-    this->events.push({at, this->next_sequence++, std::move(run)});
-  }
-  void After(milliseconds delay, std::function<void()> run) {
-    this->At(this->now + delay, std::move(run));
-  }
-
   // ---- Workers ----
 
   void Advance(std::size_t w) {
@@ -253,7 +219,7 @@
         exceeds(demand.milli_cores, used.milli_cores, limit.milli_cores) ||
         exceeds(demand.memory_mb, used.memory_mb, limit.memory_mb) ||
         exceeds(demand.accelerators, used.accelerators, limit.accelerators))
-        << "worker " << w << " at " << (this->now - kStart) / milliseconds(1)
+        << "worker " << w << " at " << this->Milliseconds()
         << " ms, started by s" << scheduler << ": uses " << used.milli_cores
         << "/" << used.memory_mb << "/" << used.accelerators << " of "
         << limit.milli_cores << "/" << limit.memory_mb << "/"
@@ -439,11 +405,11 @@
 
   void TakeOver(int s) {
     this->current = s;
-    this->fence = std::max(
-        this->fence + 1,
-        MakeFencingToken(
-            std::chrono::duration_cast<milliseconds>(this->now - kStart),
-            fmt::format("s{}", s), 1));
+    this->fence =
+        std::max(this->fence + 1,
+                 MakeFencingToken(std::chrono::duration_cast<milliseconds>(
+                                      this->now - kSimulationStart),
+                                  fmt::format("s{}", s), 1));
     BeginScheduling(&this->schedulers[s], this->fence, this->now);
     this->RunPass(s);
   }
@@ -474,11 +440,7 @@
     });
   }
 
-  std::mt19937 random;
   CapacityWords words;
-  TimePoint now = kStart;
-  std::priority_queue<Event> events;
-  std::uint64_t next_sequence = 0;
   std::array<SimulatedWorker, kWorkers> workers;
   std::array<TaskScheduler, kSchedulers> schedulers;
   std::array<int, kSchedulers> lives{};  // Number of times each was killed.
@@ -489,15 +451,6 @@
   bool store_down = false;
 };
 
-// Returns how many seeds to run; SEQUOIAPATH_FUZZ_SEEDS overrides the default.
-unsigned SeedCount() {
-  constexpr unsigned kDefault = 12;
-  const char* text = std::getenv("SEQUOIAPATH_FUZZ_SEEDS");
-  return text == nullptr
-             ? kDefault
-             : static_cast<unsigned>(std::strtoul(text, nullptr, 10));
-}
-
 void Play(unsigned seed, const CapacityWords& words) {
   CapacitySimulation simulation(seed, words);
   simulation.Run();
@@ -548,7 +501,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, WorkerCapacityFuzz,
-                         testing::Range(1U, SeedCount() + 1));
+                         testing::Range(1U, FuzzSeedCount(kSeedsInCi) + 1));
 
 }  // namespace
 }  // namespace sequoiapath
