--- a/packages/coordination/src/worker_runs.cc
+++ b/packages/coordination/src/worker_runs.cc
@@ -11,6 +11,15 @@
 namespace internal {
 namespace {
 
+// Returns the longest time until a worker's clock has advanced by `left` and
+// the runs whose leases end then have ended.
+Duration LongestTime(std::chrono::milliseconds left, const LeaseTimes& times) {
+  const auto longest = std::chrono::duration<double, std::milli>(
+      static_cast<double>(left.count()) / (1 - times.clock_drift));
+  return std::chrono::ceil<std::chrono::milliseconds>(longest) +
+         times.expiry_margin;
+}
+
 const RunningTask* FindRunning(const WorkerReport& report,
                                const TaskName& task) {
   const auto found =
@@ -134,21 +143,14 @@
 TimePoint LatestRunExpiry(const WorkerRuns& worker, const LeaseTimes& times,
                           TimePoint now) {
   if (!worker.clock_known) return now + times.foreign_run_lifetime;
-  const auto left = worker.last_lease_end - worker.clock;
-  const auto longest = std::chrono::duration<double, std::milli>(
-      static_cast<double>(left.count()) / (1 - times.clock_drift));
   const TimePoint own_leases_end =
       worker.clock_received_at +
-      std::chrono::ceil<std::chrono::milliseconds>(longest) +
-      times.expiry_margin;
+      internal::LongestTime(worker.last_lease_end - worker.clock, times);
   return std::max(own_leases_end, worker.former_leases_end);
 }
 
 Duration LongestLeaseTime(const LeaseTimes& times) {
-  const std::chrono::duration<double, std::milli> longest =
-      times.lease / (1 - times.clock_drift);
-  return std::chrono::ceil<std::chrono::milliseconds>(longest) +
-         times.expiry_margin;
+  return internal::LongestTime(times.lease, times);
 }
 
 Resources FreeCapacity(const WorkerRuns& worker) {
