--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -157,10 +157,12 @@
   UpdateQueue(scheduler, job);
 }
 
-// Answers a job with a task that has crashed too many workers.
-void GiveUpJob(TaskScheduler* scheduler, ScheduledJob* job, TimePoint now) {
-  FinishJob(scheduler, job,
-            {StepJobOutcome::kFailed, kCrashesWorkers, milliseconds(0)}, now);
+// Returns the answer to a job with a task that has to be given up, or nothing.
+std::optional<StepJobAnswer> CheckCrashes(const TaskScheduler& scheduler,
+                                          const std::string& job) {
+  if (FindTaskToGiveUp(scheduler.crashes, job) == nullptr) return std::nullopt;
+  return StepJobAnswer{StepJobOutcome::kFailed, kCrashesWorkers,
+                       milliseconds(0)};
 }
 
 // Applies new crashes to the jobs whose tasks they are charged to.
@@ -170,8 +172,8 @@
     ScheduledJob* job = FindJob(scheduler, id);
     if (job == nullptr) continue;
     job->has_crashes = true;
-    if (FindTaskToGiveUp(scheduler->crashes, id) != nullptr) {
-      GiveUpJob(scheduler, job, now);
+    if (auto answer = CheckCrashes(*scheduler, id)) {
+      FinishJob(scheduler, job, *std::move(answer), now);
     }
   }
 }
@@ -1042,11 +1044,8 @@
     return;
   }
   ++scheduler->counts.jobs;
-  if (FindTaskToGiveUp(scheduler->crashes, id) != nullptr) {
-    scheduler->actions.push_back(
-        AnswerJob{id,
-                  {StepJobOutcome::kFailed, internal::kCrashesWorkers,
-                   internal::milliseconds(0)}});
+  if (auto answer = internal::CheckCrashes(*scheduler, id)) {
+    scheduler->actions.push_back(AnswerJob{id, *std::move(answer)});
     return;
   }
   if (job.generation == 0) {
