Forget workers that have left on daemons that never schedule

Only a scheduler removed the workers that had left the store, and nothing removed their HTTP clients. Each daemon's memory grew with each worker id that it had ever seen, until the process ended or took over.

A daemon that does not schedule now removes workers that left over 6 s ago, the rule that applied when it took over, and clients of removed workers are removed in the next tick. FollowerForgetsWorkersThatHaveLeft failed before (two workers after 7 s instead of one).

--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -332,7 +332,8 @@
 
 // Places waiting tasks, extends leases, stops overdue runs and answers expired
 // jobs. Call it after each batch of events and about every 20 ms. Workers
-// without an event are processed at most once per 10 ms.
+// without an event are processed at most once per 10 ms. On a daemon that does
+// not schedule, only removes the workers that left the store some seconds ago.
 void RunScheduler(TaskScheduler* scheduler, TimePoint now);
 
 // Returns the actions queued since the last call, and clears them.
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -525,11 +525,22 @@
 // uses them. RemoveUnlistedWorkers does not run on a daemon that does not
 // schedule.
 void RemoveDepartedWorkers(TaskScheduler* scheduler, TimePoint now) {
-  std::erase_if(scheduler->workers, [&](const auto& entry) {
-    const WorkerRuns& worker = entry.second;
-    return !worker.listed && worker.runs.empty() &&
-           now - worker.unlisted_at > kUseAfterListing;
-  });
+  const std::size_t erased =
+      std::erase_if(scheduler->workers, [&](const auto& entry) {
+        const WorkerRuns& worker = entry.second;
+        const bool removable = !worker.listed && worker.runs.empty() &&
+                               now - worker.unlisted_at > kUseAfterListing;
+        if (removable) ForgetWorker(&scheduler->health, entry.first);
+        return removable;
+      });
+  if (erased > 0) RebuildWorkerList(scheduler);
+}
+
+// Returns whether a cleanup is due. If so, sets the time of the next one.
+bool BeginCleanupIfDue(TaskScheduler* scheduler, TimePoint now) {
+  if (now < scheduler->next_cleanup) return false;
+  scheduler->next_cleanup = now + kCleanupInterval;
+  return true;
 }
 
 void RemoveOldAnswers(TaskScheduler* scheduler, TimePoint now) {
@@ -1150,15 +1161,19 @@
 }
 
 void RunScheduler(TaskScheduler* scheduler, TimePoint now) {
-  if (scheduler->fence == 0) return;
+  if (scheduler->fence == 0) {
+    if (internal::BeginCleanupIfDue(scheduler, now)) {
+      internal::RemoveDepartedWorkers(scheduler, now);
+    }
+    return;
+  }
   internal::ApplyNewCrashes(scheduler, now);
   if (now >= scheduler->next_sweep) {
     scheduler->next_sweep = now + internal::kSweepInterval;
     internal::Sweep(scheduler, now);
   }
   internal::ProcessPendingWorkers(scheduler, now);
-  if (now >= scheduler->next_cleanup) {
-    scheduler->next_cleanup = now + internal::kCleanupInterval;
+  if (internal::BeginCleanupIfDue(scheduler, now)) {
     internal::RemoveUnlistedWorkers(scheduler, now);
     internal::RemoveOldAnswers(scheduler, now);
     RemoveOldCrashes(&scheduler->crashes, now);
--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -134,8 +134,18 @@
   });
 }
 
+// Removes the clients of workers that the scheduler has removed.
+void RemoveUnusedClients(SchedulerServiceState* service) {
+  const auto& workers = service->scheduler.workers;
+  if (service->clients.size() <= workers.size()) return;
+  std::erase_if(service->clients, [&workers](const auto& entry) {
+    return !workers.contains(entry.first);
+  });
+}
+
 void Tick(SchedulerServiceState* service) {
-  if (service->scheduler.fence != 0) RunScheduler(service);
+  RunScheduler(service);
+  RemoveUnusedClients(service);
   service->loop->Schedule(kTickInterval, [service] { Tick(service); });
 }
 
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -356,6 +356,22 @@
   EXPECT_EQ(harness.RunningOf("j2"), 0U);
 }
 
+// Guards against memory that grows with each worker that has left, on a daemon
+// that never schedules.
+TEST(TaskSchedulerTest, FollowerForgetsWorkersThatHaveLeft) {
+  TaskScheduler follower;
+  UpdateWorker(&follower, Worker(0, 16'000), kStart);
+  UpdateWorker(&follower, Worker(1, 16'000), kStart);
+  UnlistWorker(&follower, "w0", kStart);
+  RunScheduler(&follower, kStart + std::chrono::seconds(5));
+  EXPECT_EQ(follower.workers.size(), 2u);
+  RunScheduler(&follower, kStart + std::chrono::seconds(7));
+  EXPECT_EQ(follower.workers.size(), 1u);
+  BeginScheduling(&follower, kSchedulerFence, kStart + std::chrono::seconds(7));
+  RunScheduler(&follower, kStart + std::chrono::seconds(7));
+  EXPECT_TRUE(follower.workers.contains("w1"));
+}
+
 // Guards against two runs of a task at a time: a partitioned worker keeps
 // running its tasks until their leases end.
 TEST(TaskSchedulerTest, TasksOfASilentWorkerMoveAfterTheirLeases) {
