Count a crash as evidence only after the start was acknowledged

A crash is now recorded with whether the worker had acknowledged the start. A start without an acknowledgement still makes the task a suspect, but does not count towards giving up after two or three crashes. Without any acknowledgement a task is given up after four crashes, within the platform's limit of two further starts after three.

UnansweredStartIsNoEvidenceOfACrash failed before (the job was answered) and passes.

--- a/packages/coordination/include/sequoiapath/coordination/crash_history.h
+++ b/packages/coordination/include/sequoiapath/coordination/crash_history.h
@@ -6,7 +6,9 @@
 // crash is therefore a suspect, which has to run alone. It is given up after
 // two crashes if it ran alone during one of them, else after three: two crashes
 // may be those of other tasks, if the first was noticed only after the second
-// start.
+// start. A crash before the worker has acknowledged the task's start makes the
+// task a suspect too, but is no evidence that it ran there: such crashes count
+// only towards a higher limit.
 //
 // A crash is identified by the worker and the start time of the crashed
 // process. Records of several daemons can therefore be merged in any order and
@@ -35,6 +37,15 @@
 // worker during one of them, and otherwise.
 constexpr std::size_t kCrashesToGiveUp = 2;
 constexpr std::size_t kSharedCrashesToGiveUp = 3;
+// Number of crashes after which a task is given up even if none of its starts
+// was acknowledged.
+constexpr std::size_t kUnconfirmedCrashesToGiveUp = 4;
+
+// How a task ran on a worker that crashed.
+struct CrashedRun {
+  bool alone = false;
+  bool confirmed = false;  // The worker had acknowledged the start.
+};
 
 struct CrashRecord {
   std::uint64_t sequence = 0;  // Increases with each record of this process.
@@ -51,9 +62,8 @@
   // Further records replace the oldest ones.
   std::size_t max_records = 20'000;
   std::deque<CrashRecord> records;  // By `sequence`.
-  // By task and crashed process, which is a worker's id and its start time:
-  // whether the task ran alone.
-  std::map<TaskName, std::map<std::pair<std::string, std::int64_t>, bool>>
+  // By task and crashed process, which is a worker's id and its start time.
+  std::map<TaskName, std::map<std::pair<std::string, std::int64_t>, CrashedRun>>
       by_task;
   std::uint64_t last_sequence = 0;
 };
--- a/packages/coordination/include/sequoiapath/coordination/worker_runs.h
+++ b/packages/coordination/include/sequoiapath/coordination/worker_runs.h
@@ -71,6 +71,13 @@
   WorkerTime clock{0};  // In that report.
 };
 
+// A task whose run counts as ended because the worker stopped answering.
+struct UnansweredTask {
+  TaskName task;
+  // The worker had acknowledged the start or reported the run.
+  bool confirmed = false;
+};
+
 struct WorkerRuns {
   WorkerDescription description;
   ClaimState claim = ClaimState::kUnclaimed;
@@ -119,9 +126,8 @@
   // Set when the worker stops answering or is claimed by another scheduler or
   // replaced. By then every lease has expired, so its runs count as ended.
   std::optional<TimePoint> latest_run_expiry;
-  // Tasks whose runs count as ended because the worker stopped answering. If it
-  // has crashed, the crash is charged to them as well.
-  std::vector<TaskName> unanswered_tasks;
+  // If the worker has crashed, the crash is charged to these as well.
+  std::vector<UnansweredTask> unanswered_tasks;
   TimePoint unreachable_since;  // Set if `unanswered_renewals` is not zero.
   // Number of the latest renewals in a row whose connection was refused.
   std::uint32_t refused_renewals = 0;
--- a/packages/coordination/src/worker_crashes.cc
+++ b/packages/coordination/src/worker_crashes.cc
@@ -3,7 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <set>
+#include <map>
 
 #include "scheduler_log.h"
 
@@ -38,25 +38,38 @@
          std::max(kMinWorkersOfCut, scheduler.worker_list.size() / kCutShare);
 }
 
+// Returns whether the worker has acknowledged the start or reported the run.
+bool IsConfirmed(const WorkerRun& run) {
+  return run.state == RunState::kRunning;
+}
+
 void ChargeCrash(TaskScheduler* scheduler, const WorkerRuns& worker,
                  std::int64_t started_at_ms, TimePoint now) {
-  std::set<TaskName> tasks(worker.unanswered_tasks.begin(),
-                           worker.unanswered_tasks.end());
-  for (const auto& [task, run] : worker.runs) tasks.insert(task);
-  for (const TaskName& task : tasks) {
+  std::map<TaskName, bool> tasks;  // Whether the worker has acknowledged each.
+  for (const UnansweredTask& unanswered : worker.unanswered_tasks) {
+    bool& confirmed = tasks[unanswered.task];
+    confirmed = confirmed || unanswered.confirmed;
+  }
+  for (const auto& [task, run] : worker.runs) {
+    bool& confirmed = tasks[task];
+    confirmed = confirmed || IsConfirmed(run);
+  }
+  for (const auto& [task, confirmed] : tasks) {
     const bool added = AddCrash(&scheduler->crashes,
                                 {.task = task,
                                  .worker = worker.description.id,
                                  .started_at_ms = started_at_ms,
-                                 .alone = tasks.size() == 1},
+                                 .alone = tasks.size() == 1,
+                                 .confirmed = confirmed},
                                 /*learned_from=*/"", now);
     if (!added) continue;
     scheduler->jobs_with_new_crashes.insert(task.job);
     LogEvent(
         scheduler, "crash_charged", worker.description.id, task.job,
-        fmt::format("task={}.{} crashes={} tasks_on_worker={} started={}",
+        fmt::format("task={}.{} crashes={} tasks_on_worker={} confirmed={} "
+                    "started={}",
                     task.step, task.index, CrashCount(scheduler->crashes, task),
-                    tasks.size(), started_at_ms));
+                    tasks.size(), confirmed, started_at_ms));
   }
 }
 
@@ -124,7 +137,7 @@
                         const std::vector<EndedRun>& ended) {
   if (worker->unanswered_renewals == 0) return;
   for (const EndedRun& end : ended) {
-    worker->unanswered_tasks.push_back(end.task);
+    worker->unanswered_tasks.push_back({end.task, IsConfirmed(end.run)});
   }
 }
 
--- a/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
@@ -77,6 +77,9 @@
   // Time since a scheduler noticed the crash.
   std::chrono::milliseconds age{0};
   bool alone = false;  // No other task ran on the worker.
+  // The worker acknowledged the start or reported the run. Otherwise the task
+  // may not have started there.
+  bool confirmed = true;
 };
 
 // Crashes that the receiver merges into its history.
--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -97,7 +97,8 @@
                    m.workers)
 SEQUOIAPATH_FIELDS(CancelStepJob, m.job)
 SEQUOIAPATH_FIELDS(TaskName, m.job, m.step, m.index)
-SEQUOIAPATH_FIELDS(TaskCrash, m.task, m.worker, m.started_at_ms, m.age, m.alone)
+SEQUOIAPATH_FIELDS(TaskCrash, m.task, m.worker, m.started_at_ms, m.age, m.alone,
+                   m.confirmed)
 SEQUOIAPATH_FIELDS(TaskCrashes, m.origin, m.crashes)
 #undef SEQUOIAPATH_FIELDS
 
@@ -110,6 +111,8 @@
 constexpr std::size_t kRequiredFields<DaemonReport> = 12;
 template <>
 constexpr std::size_t kRequiredFields<StepJob> = 13;
+template <>
+constexpr std::size_t kRequiredFields<TaskCrash> = 5;
 
 // Maximum value of each enum that is encoded as a number.
 constexpr int MaxValue(ResourceKind /*kind*/) {
--- a/tests/correctness/crash_history_test.cc
+++ b/tests/correctness/crash_history_test.cc
@@ -68,6 +68,28 @@
   EXPECT_NE(FindTaskToGiveUp(history, "j"), nullptr);
 }
 
+// Guards against a healthy task that is given up for crashes of workers on
+// which it had not started, and against starts without end if no start of a
+// task that crashes workers is ever acknowledged.
+TEST(CrashHistoryTest, CrashBeforeTheStartWasAcknowledgedCountsLess) {
+  CrashHistory history;
+  TaskCrash unconfirmed = Crash("j", 0, "w1");
+  unconfirmed.confirmed = false;
+  unconfirmed.alone = true;
+  AddCrash(&history, unconfirmed, "", kStart);
+  EXPECT_EQ(CrashCount(history, {"j", 0, 0}), 1u);
+  TaskCrash confirmed = Crash("j", 0, "w2");
+  confirmed.alone = true;
+  AddCrash(&history, confirmed, "", kStart);
+  EXPECT_EQ(FindTaskToGiveUp(history, "j"), nullptr);
+  for (const char* worker : {"w3", "w4"}) {
+    EXPECT_EQ(FindTaskToGiveUp(history, "j"), nullptr);
+    unconfirmed.worker = worker;
+    AddCrash(&history, unconfirmed, "", kStart);
+  }
+  EXPECT_NE(FindTaskToGiveUp(history, "j"), nullptr);
+}
+
 // Guards against a cut-off worker that counts as crashed after it has answered.
 TEST(CrashHistoryTest, WithdrawnCrashDoesNotCount) {
   CrashHistory history;
--- a/tests/correctness/worker_crashes_test.cc
+++ b/tests/correctness/worker_crashes_test.cc
@@ -239,6 +239,27 @@
   EXPECT_EQ(this->CrashesOf("j"), 1u);
 }
 
+// Guards against a job that is answered as failed although only one worker has
+// crashed under its task: the other one ended before the task's start arrived.
+TEST_F(WorkerCrashesTest, UnansweredStartIsNoEvidenceOfACrash) {
+  this->silent = true;
+  for (const auto& [id, worker] : this->workers) this->down[id] = true;
+  SubmitJob(&this->scheduler, Job("j", 1), this->now);
+  this->Run(milliseconds(300));
+  for (const auto& [id, worker] : this->workers) this->ComeBack(id);
+  for (int i = 0; i < 200 && this->WorkerOf("j").empty(); ++i) {
+    this->Run(milliseconds(10));
+  }
+  const std::string worker = this->WorkerOf("j");
+  ASSERT_NE(worker, "");
+  ASSERT_EQ(this->CrashesOf("j"), 1u);
+  this->silent = false;
+  this->EndProcess(worker);
+  this->Run(milliseconds(500));
+  EXPECT_EQ(this->CrashesOf("j"), 2u);
+  EXPECT_FALSE(this->answers.contains("j"));
+}
+
 // Guards against a crash that is not charged because the lease of the run had
 // ended before the worker was back.
 TEST_F(WorkerCrashesTest, RunWhoseLeaseEndedIsChargedWhenTheWorkerIsBack) {
