Keep the cancels of callers at every daemon

Seen: a caller cancels a job while the machine of the job's daemon, or that of the scheduler, stands still for 4 s.

Cause: a daemon that did not have the job sent the cancel to the scheduler that it knew, and nobody kept it. It was lost if no scheduler was known, if the connection was refused, if the scheduler did not answer for 2 s, or if the scheduler did not have the job at that moment, which the job's daemon then submitted again.

The daemon that got the cancel sends it to every daemon that it reaches until it is answered; the scheduler also sends on what it has learned. A daemon that has the job ends it and answers its caller with 504, as before. A scheduler answers later submissions of the job with kCancelled, which daemons of the version before understand, and a daemon answers a repeated request with 504. The spreading is that of the crashes of workers: CrashSpread is now RecordSpread and serves both histories. A receiver of the version before answers 404 and gets the single message as before; a cancel that such a daemon sends is spread by the scheduler.

New log lines: job_cancelled, request_for_cancelled_job and submission_of_cancelled_job.

Not measured: the bytes that the records cost, and a cluster of both versions.

--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -25,6 +25,7 @@
 #include <variant>
 #include <vector>
 
+#include "sequoiapath/coordination/cancel_history.h"
 #include "sequoiapath/coordination/crash_history.h"
 #include "sequoiapath/coordination/worker_health.h"
 #include "sequoiapath/coordination/worker_runs.h"
@@ -213,6 +214,8 @@
   TimePoint workers_listed_at;
   WorkerHealth health;
   CrashHistory crashes;  // Kept while this daemon does not schedule.
+  // Cancels of callers; kept while this daemon does not schedule.
+  CancelHistory cancels;
   // Jobs with crashes that have not been applied to them yet.
   std::set<std::string> jobs_with_new_crashes;
   std::unordered_map<std::string, ScheduledJob> jobs;
@@ -306,13 +309,21 @@
 // Accepts a job of the daemon `origin`. Its answer follows as an action,
 // possibly at once. A job that is already in progress keeps its tasks, and one
 // that has completed or failed within `retention_time` gets the same answer
-// again. With an empty `origin` no confirmations are needed.
+// again. A job that its caller has cancelled is answered with kCancelled. With
+// an empty `origin` no confirmations are needed.
 void SubmitJob(TaskScheduler* scheduler, StepJob job, TimePoint now,
                const std::string& origin = "");
 
 // Cancels a job and stops its tasks. Returns false if the job is unknown.
 bool CancelJob(TaskScheduler* scheduler, const std::string& job, TimePoint now);
 
+// Applies a caller's cancel: records it, cancels the job if this scheduler has
+// it, and rejects later submissions of it. `learned_from` names the daemon
+// process that sent the cancel; empty if a caller sent it to this daemon.
+// Returns false if the cancel is already recorded or too old.
+bool ApplyCallerCancel(TaskScheduler* scheduler, const JobCancel& cancel,
+                       std::string_view learned_from, TimePoint now);
+
 // Apply a worker's reply to an order, or the lack of a reply.
 void RecordStartReply(TaskScheduler* scheduler, const std::string& worker,
                       const StartOrder& order, const OrderReply& reply,
--- a/packages/coordination/src/crash_history.cc
+++ b/packages/coordination/src/crash_history.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "record_log.h"
+
 namespace sequoiapath {
 namespace internal {
 namespace {
@@ -91,18 +93,15 @@
                                     std::string_view receiver,
                                     std::size_t max_count, TimePoint now) {
   std::vector<TaskCrash> crashes;
-  const auto first = std::partition_point(
-      history.records.begin(), history.records.end(),
-      [sequence](const CrashRecord& r) { return r.sequence <= *sequence; });
-  for (auto it = first;
-       it != history.records.end() && crashes.size() < max_count; ++it) {
-    *sequence = it->sequence;
-    if (it->learned_from == receiver) continue;
-    TaskCrash crash = it->crash;
-    crash.age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - it->crashed);
-    crashes.push_back(std::move(crash));
-  }
+  internal::TakeRecordsAfter(
+      history.records, max_count, sequence, [&](const CrashRecord& record) {
+        if (record.learned_from == receiver) return false;
+        TaskCrash crash = record.crash;
+        crash.age = std::chrono::duration_cast<std::chrono::milliseconds>(
+            now - record.crashed);
+        crashes.push_back(std::move(crash));
+        return true;
+      });
   return crashes;
 }
 
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -631,6 +631,20 @@
   AwaitFormerRuns(scheduler, job, now);
 }
 
+// Answers the submission of a job that its caller has cancelled. Returns false
+// if there is no such cancel.
+bool RejectCancelledJob(TaskScheduler* scheduler, const StepJob& job,
+                        const std::string& origin, TimePoint now) {
+  const TimePoint* cancelled = FindCancel(scheduler->cancels, job.id);
+  if (cancelled == nullptr) return false;
+  LogEvent(scheduler, "submission_of_cancelled_job", "", job.id,
+           fmt::format("from={} generation={} cancel_age_ms={}", origin,
+                       job.generation, (now - *cancelled) / milliseconds(1)));
+  scheduler->actions.push_back(AnswerJob{
+      job.id, {StepJobOutcome::kCancelled, "cancelled", milliseconds(0)}});
+  return true;
+}
+
 // Returns the refusal of a new job, or nothing if the job is admitted.
 std::optional<StepJobAnswer> CheckAdmission(const TaskScheduler& scheduler,
                                             const StepJob& job, TimePoint now) {
@@ -1048,6 +1062,7 @@
       return;
     }
   }
+  if (internal::RejectCancelledJob(scheduler, job, origin, now)) return;
   ScheduledJob* known = internal::FindJob(scheduler, id);
   if (known != nullptr) {
     known->origin = origin;
@@ -1081,6 +1096,14 @@
   return true;
 }
 
+bool ApplyCallerCancel(TaskScheduler* scheduler, const JobCancel& cancel,
+                       std::string_view learned_from, TimePoint now) {
+  RemoveOldCancels(&scheduler->cancels, now);
+  if (!AddCancel(&scheduler->cancels, cancel, learned_from, now)) return false;
+  CancelJob(scheduler, cancel.job, now);
+  return true;
+}
+
 void RecordStartReply(TaskScheduler* scheduler, const std::string& worker,
                       const StartOrder& order, const OrderReply& reply,
                       TimePoint now) {
--- a/packages/protocol/include/sequoiapath/protocol/peer_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/peer_message.h
@@ -392,6 +392,7 @@
   X(CatalogRequest) \
   X(CatalogSnapshot) \
   X(CancelStepJob) \
+  X(JobCancels) \
   X(TaskCrashes)
 // clang-format on
 
--- a/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
@@ -64,9 +64,25 @@
   std::string vm;  // VM of the sender.
 };
 
-// Cancels a job whose caller has disconnected.
+// Cancels a job, or one daemon's submission of it if a header names the daemon.
 struct CancelStepJob {
   std::string job;
+  // The process that sent the message. Empty: the message comes from a version
+  // without this field.
+  std::string sender;
+};
+
+// A caller's cancel of a job.
+struct JobCancel {
+  std::string job;
+  // Time since a daemon received the caller's request.
+  std::chrono::milliseconds age{0};
+};
+
+// Cancels of callers that the receiver merges into its history.
+struct JobCancels {
+  std::string origin;  // Names the sender's process.
+  std::vector<JobCancel> cancels;
 };
 
 // The crash of a worker's process under one of the tasks that ran on it.
--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -95,7 +95,9 @@
 SEQUOIAPATH_FIELDS(CatalogRequest, m.vm)
 SEQUOIAPATH_FIELDS(CatalogSnapshot, m.revision, m.config_version, m.config,
                    m.workers)
-SEQUOIAPATH_FIELDS(CancelStepJob, m.job)
+SEQUOIAPATH_FIELDS(CancelStepJob, m.job, m.sender)
+SEQUOIAPATH_FIELDS(JobCancel, m.job, m.age)
+SEQUOIAPATH_FIELDS(JobCancels, m.origin, m.cancels)
 SEQUOIAPATH_FIELDS(TaskName, m.job, m.step, m.index)
 SEQUOIAPATH_FIELDS(TaskCrash, m.task, m.worker, m.started_at_ms, m.age, m.alone,
                    m.confirmed)
@@ -113,6 +115,8 @@
 constexpr std::size_t kRequiredFields<StepJob> = 13;
 template <>
 constexpr std::size_t kRequiredFields<TaskCrash> = 5;
+template <>
+constexpr std::size_t kRequiredFields<CancelStepJob> = 1;
 
 // Maximum value of each enum that is encoded as a number.
 constexpr int MaxValue(ResourceKind /*kind*/) {
@@ -237,6 +241,7 @@
   }
   return !value.id.empty() && !value.steps.empty();
 }
+bool IsValid(const JobCancel& value) { return !value.job.empty(); }
 bool IsValid(const TaskCrash& value) {
   return !value.task.job.empty() && !value.worker.empty();
 }
--- a/packages/state/include/sequoiapath/state/job_gateway.h
+++ b/packages/state/include/sequoiapath/state/job_gateway.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,9 +51,11 @@
   // Cancels this daemon's submission of a job at `leader`. Has no effect on a
   // job that another daemon has submitted there since.
   std::function<void(const std::string& leader, const std::string& job)> cancel;
-  // Cancels a job at `leader`, whichever daemon submitted it.
-  std::function<void(const std::string& leader, const std::string& job)>
-      cancel_of_any_daemon;
+  // Cancels a job for its caller at all daemons, including those that are out
+  // of reach now, whichever daemon submitted it.
+  std::function<void(const std::string& job)> cancel_everywhere;
+  // Returns the time since a caller cancelled the job; nothing if none did.
+  std::function<std::optional<Duration>(const std::string& job)> cancel_age;
 };
 
 // Totals since the gateway was created.
@@ -98,6 +101,10 @@
   // for a scheduler and resubmits those that were submitted to the former one.
   void LeaderChanged();
 
+  // Cancels a job whose caller has sent the cancel to another daemon. Returns
+  // false if this daemon does not have the job.
+  bool CancelForCaller(const std::string& job);
+
   // Submits all pending jobs again. Must be called after a connection to the
   // scheduler stopped responding, because replies on it are lost. The scheduler
   // continues a job that it already has.
--- a/packages/state/include/sequoiapath/state/scheduler_service.h
+++ b/packages/state/include/sequoiapath/state/scheduler_service.h
@@ -75,6 +75,11 @@
   // Cancels a job and stops its tasks. Returns false if the job is unknown.
   bool Cancel(const std::string& job);
 
+  // Applies a caller's cancel (see sequoiapath::ApplyCallerCancel). Returns
+  // false if it is already recorded or too old.
+  bool ApplyCallerCancel(const JobCancel& cancel,
+                         std::string_view learned_from);
+
   // Cancels a job if the daemon `origin` was the last to submit it. After a
   // broken connection, the caller may already have sent the job through another
   // daemon. Returns false if the job is unknown or was submitted by another
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -9,8 +9,8 @@
 #include <utility>
 #include <vector>
 
-#include "crash_spread.h"
 #include "entry_metrics.h"
+#include "record_spread.h"
 #include "sequoiapath/coordination/scheduler_election.h"
 #include "sequoiapath/protocol/peer_message.h"
 #include "sequoiapath/state/entry_catalog.h"
@@ -81,6 +81,8 @@
 constexpr const char* kReportPath = "/scheduler/report";
 constexpr const char* kSubmitPath = "/scheduler/submit";
 constexpr const char* kCancelPath = "/scheduler/cancel";
+constexpr const char* kCrashesPath = "/scheduler/crashes";
+constexpr const char* kCancelsPath = "/scheduler/cancels";
 constexpr const char* kCatalogPath = "/scheduler/catalog";
 constexpr const char* kOriginHeader = "x-origin";
 constexpr int kStatusOk = 200;
@@ -109,7 +111,8 @@
   std::unique_ptr<SchedulerService> service;
   std::unique_ptr<JobGateway> gateway;
   std::unique_ptr<KeyValueClient> store;
-  CrashSpread crash_spread;
+  RecordSpread crash_spread;
+  RecordSpread cancel_spread;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> ready_server;
   std::unique_ptr<HttpServer> peer_server;
@@ -420,7 +423,8 @@
 void HeartbeatTick(EntryDaemonState* daemon) {
   QuerySeeds(daemon);
   SendHeartbeats(daemon);
-  SendCrashes(&daemon->crash_spread);
+  SendRecords(&daemon->crash_spread);
+  SendRecords(&daemon->cancel_spread);
   daemon->loop->Schedule(kHeartbeatInterval,
                          [daemon] { HeartbeatTick(daemon); });
 }
@@ -665,9 +669,10 @@
 void SendCancel(EntryDaemonState* daemon, const RemoteCancel& cancel) {
   const Endpoint* endpoint = EndpointOf(*daemon, cancel.scheduler);
   if (endpoint == nullptr) return;
-  PeerCall call{.path = kCancelPath,
-                .headers = {},
-                .body = EncodePeerMessage(CancelStepJob{cancel.job})};
+  PeerCall call{
+      .path = kCancelPath,
+      .headers = {},
+      .body = EncodePeerMessage(CancelStepJob{cancel.job, OwnOrigin(*daemon)})};
   if (!cancel.of_any_daemon) {
     call.headers.push_back({kOriginHeader, OwnOrigin(*daemon)});
   }
@@ -693,63 +698,156 @@
 }
 
 void CancelAtLeader(EntryDaemonState* daemon, const std::string& leader,
-                    const std::string& job, bool of_any_daemon) {
+                    const std::string& job) {
   if (leader != daemon->election.self.vm) {
-    SendCancel(daemon, {leader, job, of_any_daemon,
-                        daemon->loop->Now() + kCancelRetryTime});
-  } else if (of_any_daemon) {
-    daemon->service->Cancel(job);
+    SendCancel(daemon,
+               {leader, job, false, daemon->loop->Now() + kCancelRetryTime});
   } else {
     daemon->service->CancelSubmission(job, OwnOrigin(*daemon));
   }
 }
 
+// Applies a caller's cancel to this daemon's job and to its scheduler. `from`
+// names the daemon process that sent it; empty if the caller sent it here.
+void ApplyCallerCancel(EntryDaemonState* daemon, const JobCancel& cancel,
+                       std::string_view from) {
+  if (FindCancel(daemon->service->scheduler().cancels, cancel.job) != nullptr) {
+    return;
+  }
+  const bool scheduled = daemon->service->scheduler().jobs.contains(cancel.job);
+  const bool accepted = daemon->gateway->CancelForCaller(cancel.job);
+  const bool recorded = daemon->service->ApplyCallerCancel(cancel, from);
+  Log(LogLevel::kInfo, "job_cancelled",
+      {{"id", cancel.job},
+       {"from", from.empty() ? "caller" : from},
+       {"age_ms", cancel.age.count()},
+       {"accepted_here", accepted},
+       {"scheduled_here", scheduled},
+       {"recorded", recorded}});
+}
+
+// Cancels a job whose caller has sent the cancel to this daemon.
+void CancelEverywhere(EntryDaemonState* daemon, const std::string& job) {
+  ApplyCallerCancel(daemon, {job, milliseconds(0)}, "");
+  SendRecords(&daemon->cancel_spread);
+  const std::string& leader = daemon->election.leader;
+  if (leader.empty() || leader == daemon->election.self.vm) return;
+  // A scheduler of an earlier version keeps no cancels.
+  SendCancel(daemon,
+             {leader, job, true, daemon->loop->Now() + kCancelRetryTime});
+}
+
+std::optional<Duration> CancelAge(const EntryDaemonState& daemon,
+                                  const std::string& job) {
+  const TimePoint* cancelled =
+      FindCancel(daemon.service->scheduler().cancels, job);
+  if (cancelled == nullptr) return std::nullopt;
+  return daemon.loop->Now() - *cancelled;
+}
+
 SchedulerAccess MakeSchedulerAccess(EntryDaemonState* daemon) {
-  return {.leader = [daemon] { return daemon->election.leader; },
-          .fence = [daemon] { return daemon->election.self.highest_fence; },
-          .submit =
-              [daemon](const std::string& leader, StepJob job,
-                       const SubmissionCallback& callback) {
-                SubmitToLeader(daemon, leader, std::move(job), callback);
-              },
-          .cancel =
-              [daemon](const std::string& leader, const std::string& job) {
-                CancelAtLeader(daemon, leader, job, false);
-              },
-          .cancel_of_any_daemon =
-              [daemon](const std::string& leader, const std::string& job) {
-                CancelAtLeader(daemon, leader, job, true);
-              }};
-}
-
-// ---- Crashes of workers ----
-
-// Returns the daemons that have to get this daemon's history of crashes: all
-// reachable ones if it schedules, else the scheduler.
-std::vector<CrashReceiver> CrashReceivers(const EntryDaemonState& daemon) {
+  return {
+      .leader = [daemon] { return daemon->election.leader; },
+      .fence = [daemon] { return daemon->election.self.highest_fence; },
+      .submit =
+          [daemon](const std::string& leader, StepJob job,
+                   const SubmissionCallback& callback) {
+            SubmitToLeader(daemon, leader, std::move(job), callback);
+          },
+      .cancel =
+          [daemon](const std::string& leader, const std::string& job) {
+            CancelAtLeader(daemon, leader, job);
+          },
+      .cancel_everywhere =
+          [daemon](const std::string& job) { CancelEverywhere(daemon, job); },
+      .cancel_age =
+          [daemon](const std::string& job) { return CancelAge(*daemon, job); }};
+}
+
+// ---- Crashes of workers and cancels of callers ----
+
+// Returns the reachable daemons. A daemon that schedules sends them all of its
+// records. One that follows sends all of them to the scheduler only.
+std::vector<RecordReceiver> RecordReceivers(const EntryDaemonState& daemon) {
   const SchedulerElection& election = daemon.election;
-  std::vector<CrashReceiver> receivers;
+  std::vector<RecordReceiver> receivers;
   for (const auto& [vm, peer] : election.peers) {
-    if (election.self.claim == 0 && vm != election.leader) continue;
     if (!IsReachable(election, vm, daemon.loop->Now())) continue;
-    receivers.push_back(
-        {MakeOrigin(vm, peer.report.incarnation), peer.report.endpoint});
+    const bool gets_all = election.self.claim != 0 || vm == election.leader;
+    receivers.push_back({MakeOrigin(vm, peer.report.incarnation),
+                         peer.report.endpoint, !gets_all});
   }
   return receivers;
 }
 
+template <typename History>
+std::uint64_t LastSequence(const History& history) {
+  return history.records.empty() ? 0 : history.last_sequence;
+}
+
+std::string EncodeCrashesAfter(const EntryDaemonState& daemon,
+                               const RecordReceiver& receiver,
+                               std::uint64_t* sequence) {
+  const TaskCrashes message{
+      OwnOrigin(daemon),
+      CrashesAfter(daemon.service->scheduler().crashes, sequence,
+                   receiver.origin, kMaxRecordsPerMessage, daemon.loop->Now())};
+  return message.crashes.empty() ? "" : EncodePeerMessage(message);
+}
+
+// The scheduler starts the tasks of all jobs, so the others need its records of
+// crashes only to succeed it.
 void InitializeCrashSpread(EntryDaemonState* daemon) {
   daemon->crash_spread = {
-      .loop = daemon->loop,
       .peers = daemon->peers.get(),
-      .own_origin = OwnOrigin(*daemon),
-      .history = [daemon]() -> const CrashHistory& {
-        return daemon->service->scheduler().crashes;
-      },
-      .receivers = [daemon] { return CrashReceivers(*daemon); },
+      .path = kCrashesPath,
+      .last_sequence =
+          [daemon] {
+            return LastSequence(daemon->service->scheduler().crashes);
+          },
+      .encode_after =
+          [daemon](const RecordReceiver& receiver, std::uint64_t* sequence) {
+            return EncodeCrashesAfter(*daemon, receiver, sequence);
+          },
+      .receivers =
+          [daemon] {
+            std::vector<RecordReceiver> receivers = RecordReceivers(*daemon);
+            std::erase_if(receivers, [](const RecordReceiver& receiver) {
+              return receiver.own_records_only;
+            });
+            return receivers;
+          },
       .progress = {}};
   daemon->service->OnNewCrashes(
-      [daemon] { SendCrashes(&daemon->crash_spread); });
+      [daemon] { SendRecords(&daemon->crash_spread); });
+}
+
+std::string EncodeCancelsAfter(const EntryDaemonState& daemon,
+                               const RecordReceiver& receiver,
+                               std::uint64_t* sequence) {
+  const JobCancels message{
+      OwnOrigin(daemon),
+      CancelsAfter(daemon.service->scheduler().cancels, sequence,
+                   receiver.origin, receiver.own_records_only,
+                   kMaxRecordsPerMessage, daemon.loop->Now())};
+  return message.cancels.empty() ? "" : EncodePeerMessage(message);
+}
+
+// Any daemon may have the cancelled job or get a repeated request for it.
+void InitializeCancelSpread(EntryDaemonState* daemon) {
+  daemon->cancel_spread = {
+      .peers = daemon->peers.get(),
+      .path = kCancelsPath,
+      .last_sequence =
+          [daemon] {
+            return LastSequence(daemon->service->scheduler().cancels);
+          },
+      .encode_after =
+          [daemon](const RecordReceiver& receiver, std::uint64_t* sequence) {
+            return EncodeCancelsAfter(*daemon, receiver, sequence);
+          },
+      .receivers = [daemon] { return RecordReceivers(*daemon); },
+      .progress = {}};
 }
 
 // ---- Servers ----
@@ -817,7 +915,23 @@
   if (const auto origin = FindHeader(request.headers, kOriginHeader)) {
     daemon->service->CancelSubmission(decoded->job, *origin);
   } else {
-    daemon->service->Cancel(decoded->job);
+    // A daemon of an earlier version names no sender and does not spread the
+    // cancel, so this one does.
+    ApplyCallerCancel(daemon, {decoded->job, milliseconds(0)}, decoded->sender);
+  }
+  responder.Respond(MakeOkResponse(""));
+}
+
+void HandleCancels(EntryDaemonState* daemon, const HttpRequest& request,
+                   const HttpResponder& responder) {
+  auto cancels = DecodePeerMessage<JobCancels>(request.body);
+  const auto* decoded = std::get_if<JobCancels>(&cancels);
+  if (decoded == nullptr) {
+    RespondStatus(responder, kStatusBadRequest);
+    return;
+  }
+  for (const JobCancel& cancel : decoded->cancels) {
+    ApplyCallerCancel(daemon, cancel, decoded->origin);
   }
   responder.Respond(MakeOkResponse(""));
 }
@@ -842,6 +956,8 @@
     HandleSubmit(daemon, request, responder);
   } else if (request.path == kCancelPath) {
     HandleCancel(daemon, request, responder);
+  } else if (request.path == kCancelsPath) {
+    HandleCancels(daemon, request, responder);
   } else if (request.path == kCrashesPath) {
     HandleCrashes(daemon, request, responder);
   } else if (request.path == kCatalogPath) {
@@ -1078,6 +1194,7 @@
                                         this->codecs.store)
                       .Build();
   internal::InitializeCrashSpread(daemon);
+  internal::InitializeCancelSpread(daemon);
   if (auto error = internal::ListenAll(daemon)) return *std::move(error);
   Log(LogLevel::kInfo, "started",
       {{"vm", daemon->settings.vm},
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -274,6 +274,16 @@
   gateway->access.cancel(job->submitted_to, job->job.id);
 }
 
+// Cancels a job of this daemon and answers it. Returns false if this daemon
+// does not have the job.
+bool CancelForCaller(JobGatewayState* gateway, const std::string& id) {
+  const auto found = gateway->jobs.find(id);
+  if (found == gateway->jobs.end()) return false;
+  CancelSubmission(gateway, &found->second);
+  AnswerCaller(gateway, id, AnswerToCancelledSubmission());
+  return true;
+}
+
 // Answers a job whose deadline has passed or cannot be met. It is refused only
 // if it was never submitted, because otherwise its tasks may have run.
 void ExpireJob(JobGatewayState* gateway, const std::string& id,
@@ -383,6 +393,20 @@
       {StepJobOutcome::kRefused, "stopping", kRefusalRetryAfter}));
 }
 
+// Answers a request for a job that its caller has cancelled. Returns false if
+// there is no such cancel.
+bool RejectCancelledJob(JobGatewayState* gateway, const std::string& id,
+                        const HttpResponder& responder) {
+  const std::optional<Duration> age = gateway->access.cancel_age(id);
+  if (!age) return false;
+  ++gateway->counts.cancelled;
+  Log(LogLevel::kInfo, "request_for_cancelled_job",
+      {{"id", id}, {"cancel_age_ms", Milliseconds(*age)}});
+  responder.Respond(
+      gateway->codec.encode_answer(AnswerToCancelledSubmission()));
+  return true;
+}
+
 void AcceptJob(JobGatewayState* gateway, StepJob job, const Route& route,
                const HttpRequest& request, const HttpResponder& responder,
                TimePoint arrived) {
@@ -440,6 +464,7 @@
     return;
   }
   auto& job = std::get<StepJob>(decoded);
+  if (RejectCancelledJob(gateway, job.id, responder)) return;
   if (!gateway->jobs.contains(job.id) && MayOutlastStop(*gateway, job)) {
     RefuseWhileStopping(gateway, job, responder);
     return;
@@ -468,18 +493,16 @@
 void HandleDelete(JobGatewayState* gateway, const Route& route,
                   const HttpRequest& request, const HttpResponder& responder) {
   const std::string id = JobIdFromPath(request, route);
-  const auto found = gateway->jobs.find(id);
-  if (found == gateway->jobs.end()) {
-    // Another daemon may have accepted the job.
-    const std::string leader = gateway->access.leader();
-    if (!leader.empty()) gateway->access.cancel_of_any_daemon(leader, id);
+  const bool known = gateway->jobs.contains(id);
+  // Another daemon may have accepted the job, or may get a repeated request.
+  gateway->access.cancel_everywhere(id);
+  CancelForCaller(gateway, id);
+  if (!known) {
     RespondText(responder, kStatusGone, "this daemon has no job with this id");
     return;
   }
-  CancelSubmission(gateway, &found->second);
   const StepJobAnswer cancelled{StepJobOutcome::kCancelled, "cancelled",
                                 milliseconds(0)};
-  AnswerCaller(gateway, id, AnswerToCancelledSubmission());
   responder.Respond(gateway->codec.encode_answer(cancelled));
 }
 
@@ -590,6 +613,10 @@
 
 void JobGateway::LeaderChanged() { internal::SubmitWaiting(this->state.get()); }
 
+bool JobGateway::CancelForCaller(const std::string& job) {
+  return internal::CancelForCaller(this->state.get(), job);
+}
+
 void JobGateway::ResubmitAll() {
   for (auto& [id, job] : this->state->jobs) job.submitted_to.clear();
   internal::SubmitWaiting(this->state.get());
--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -146,6 +146,7 @@
 void Tick(SchedulerServiceState* service) {
   RunScheduler(service);
   RemoveUnusedClients(service);
+  RemoveOldCancels(&service->scheduler.cancels, service->loop->Now());
   service->loop->Schedule(kTickInterval, [service] { Tick(service); });
 }
 
@@ -312,6 +313,15 @@
   return known;
 }
 
+bool SchedulerService::ApplyCallerCancel(const JobCancel& cancel,
+                                         std::string_view learned_from) {
+  const bool added = sequoiapath::ApplyCallerCancel(
+      &this->state->scheduler, cancel, learned_from, this->state->loop->Now());
+  internal::ExecuteActions(this->state.get());
+  internal::ScheduleSchedulerRun(this->state.get());
+  return added;
+}
+
 bool SchedulerService::CancelSubmission(const std::string& job,
                                         std::string_view origin) {
   const auto waiter = this->state->waiters.find(job);
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -752,5 +752,38 @@
   EXPECT_TRUE(harness.workers["w1"].running.contains(TaskName{"j1", 0, 0}));
 }
 
+// Guards against tasks of a cancelled job: the cancel reaches the scheduler
+// before the job does, which its daemon submits after a takeover.
+TEST(TaskSchedulerTest, CancelledJobIsNotAcceptedLater) {
+  SchedulerHarness harness(4);
+  EXPECT_TRUE(ApplyCallerCancel(&harness.scheduler, {"j1", milliseconds(0)},
+                                "vm-2/7", harness.now));
+  harness.Submit(Job("j1", 8));
+  EXPECT_EQ(harness.RunningOf("j1"), 0U);
+  ASSERT_TRUE(harness.AnswerOf("j1"));
+  EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kCancelled);
+}
+
+// Guards against the same when the daemon of the cancel becomes the scheduler
+// after it has received the cancel.
+TEST(TaskSchedulerTest, CancelIsKeptOverATakeover) {
+  SchedulerHarness harness(4);
+  harness.Submit(Job("j1", 8));
+  ApplyCallerCancel(&harness.scheduler, {"j1", milliseconds(0)}, "",
+                    harness.now);
+  harness.Run(milliseconds(50));
+  EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kCancelled);
+  EXPECT_EQ(harness.RunningOf("j1"), 0U);
+  EndScheduling(&harness.scheduler);
+  BeginScheduling(&harness.scheduler, kSchedulerFence + 1, harness.now);
+  harness.Run(milliseconds(50));
+  harness.answers.clear();
+  StepJob again = Job("j1", 8);
+  again.generation = 1;
+  harness.Submit(again);
+  ASSERT_TRUE(harness.AnswerOf("j1"));
+  EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kCancelled);
+}
+
 }  // namespace
 }  // namespace sequoiapath
--- a/tests/error/entry_daemon_test.cc
+++ b/tests/error/entry_daemon_test.cc
@@ -119,6 +119,12 @@
           std::string(FindHeader(request.headers, "x-origin").value_or("")));
       // The reply to the first cancel is lost.
       if (this->cancels.size() > 1) Respond(responder, "");
+    } else if (request.path == "/scheduler/cancels") {
+      auto message = DecodePeerMessage<JobCancels>(request.body);
+      const auto* decoded = std::get_if<JobCancels>(&message);
+      ASSERT_NE(decoded, nullptr);
+      this->received_cancels.push_back(*decoded);
+      if (this->received_cancels.size() > 1) Respond(responder, "");
     }
   }
 
@@ -208,12 +214,42 @@
         this->daemon_endpoint,
         {.path = "/scheduler/cancel",
          .headers = std::move(headers),
-         .body = EncodePeerMessage(CancelStepJob{kJob})},
+         .body = EncodePeerMessage(CancelStepJob{kJob, ""})},
         seconds(1), [](const HttpResult& result) {
           EXPECT_TRUE(std::holds_alternative<HttpResponse>(result));
         });
   }
 
+  // Cancels the job as a caller.
+  void DeleteJob() {
+    this->deleting =
+        HttpClientBuilder(&this->loop, this->caller_endpoint).Build();
+    HttpRequest request;
+    request.method = "DELETE";
+    request.path = std::string("/check/") + kJob;
+    request.headers = {{"host", "desk.example"}};
+    this->deleting->Send(
+        std::move(request), seconds(1), [this](const HttpResult& result) {
+          const auto* response = std::get_if<HttpResponse>(&result);
+          ASSERT_NE(response, nullptr);
+          this->delete_status = response->status;
+        });
+    ASSERT_TRUE(RunUntil(
+        &this->loop, [this] { return this->delete_status != 0; }, seconds(1)));
+  }
+
+  // Ends the peer's process and makes the daemon the scheduler.
+  void ReplacePeerAsScheduler() {
+    this->peer_server->StopAccepting();
+    this->CloseConnectionsToPeer();
+    RunFor(&this->loop, milliseconds(300));
+    this->peer_report.claim = 0;
+    this->peer_report.incarnation = kPeerIncarnation + 1;
+    this->SendReport();
+    RunFor(&this->loop, milliseconds(50));
+    ASSERT_TRUE(this->daemon_schedules);
+  }
+
   // Makes the peer the scheduler, from which the daemon also copies the
   // configuration.
   void MakePeerTheScheduler() {
@@ -255,8 +291,11 @@
     request.headers = {{"host", "desk.example"},
                        {"x-deadline-ms", std::to_string(deadline.count())}};
     request.body = kJobBody;
-    this->caller_request = this->caller->Send(std::move(request), seconds(5),
-                                              [](const HttpResult&) {});
+    this->caller_request = this->caller->Send(
+        std::move(request), seconds(5), [this](const HttpResult& result) {
+          const auto* response = std::get_if<HttpResponse>(&result);
+          if (response != nullptr) this->post_status = response->status;
+        });
   }
 
   EventLoop loop;
@@ -264,8 +303,9 @@
   std::vector<HttpResponder> submissions;  // Received by the peer.
   bool replies_to_reports = true;          // Of the peer.
   std::vector<HttpResponder> unanswered_reports;
-  std::vector<std::string> cancels;  // Their origins.
-  int catalog_requests = 0;          // Received by the peer.
+  std::vector<std::string> cancels;          // Their origins.
+  std::vector<JobCancels> received_cancels;  // By the peer.
+  int catalog_requests = 0;                  // Received by the peer.
   std::unique_ptr<HttpServer> peer_server;
   std::unique_ptr<HttpServer> store;  // Null: nothing listens there.
   Endpoint daemon_endpoint;
@@ -274,6 +314,9 @@
   std::unique_ptr<PeerClient> client;
   std::unique_ptr<HttpClient> caller;
   HttpRequestId caller_request = 0;
+  int post_status = 0;
+  std::unique_ptr<HttpClient> deleting;
+  int delete_status = 0;
   bool daemon_schedules = false;  // According to its latest report.
   DaemonReport daemon_report;     // The latest reply to SendReport.
   std::optional<StepJobAnswer> answer;
@@ -441,14 +484,7 @@
 TEST_F(EntryDaemonErrorTest, RefusedConnectionReplacesTheScheduler) {
   this->MakePeerTheScheduler();
   RunFor(&this->loop, seconds(1));  // The daemon may claim from now on.
-  this->peer_server->StopAccepting();
-  this->CloseConnectionsToPeer();
-  RunFor(&this->loop, milliseconds(300));
-  this->peer_report.claim = 0;
-  this->peer_report.incarnation = kPeerIncarnation + 1;
-  this->SendReport();
-  RunFor(&this->loop, milliseconds(50));
-  EXPECT_TRUE(this->daemon_schedules);
+  this->ReplacePeerAsScheduler();
 }
 
 // Guards against two runs of a task at a time: the cancel of an expired job is
@@ -500,5 +536,65 @@
   EXPECT_EQ(this->answer->outcome, StepJobOutcome::kCancelled);
 }
 
+// Guards against tasks of a cancelled job: the scheduler does not have the job
+// yet, because its daemon stands still or the job is between two schedulers.
+TEST_F(EntryDaemonErrorTest, CancelOfAJobThatComesLaterIsKept) {
+  ASSERT_TRUE(this->WaitUntilDaemonSchedules());
+  this->Cancel({});
+  RunFor(&this->loop, milliseconds(100));
+  this->Submit();
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return this->answer.has_value(); }, seconds(1)));
+  EXPECT_EQ(this->answer->outcome, StepJobOutcome::kCancelled);
+}
+
+// Guards against tasks of a cancelled job after a takeover: the scheduler that
+// got the cancel has ended, and another daemon submits the job to this one.
+TEST_F(EntryDaemonErrorTest, CancelIsKeptForTheNextScheduler) {
+  this->MakePeerTheScheduler();
+  RunFor(&this->loop, seconds(1));  // The daemon may claim from now on.
+  this->DeleteJob();
+  EXPECT_EQ(this->delete_status, 410);
+  this->ReplacePeerAsScheduler();
+  this->Submit(kOtherOrigin);
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return this->answer.has_value(); }, seconds(1)));
+  EXPECT_EQ(this->answer->outcome, StepJobOutcome::kCancelled);
+}
+
+// Guards against a cancel that is lost because a daemon did not answer.
+TEST_F(EntryDaemonErrorTest, CancelIsSentToOtherDaemonsUntilItIsAnswered) {
+  this->MakePeerTheScheduler();
+  this->DeleteJob();
+  this->SendReportsFor(milliseconds(1200));
+  ASSERT_EQ(this->received_cancels.size(), 2U);
+  for (const JobCancels& message : this->received_cancels) {
+    ASSERT_EQ(message.cancels.size(), 1U);
+    EXPECT_EQ(message.cancels[0].job, kJob);
+  }
+  EXPECT_GE(this->received_cancels[1].cancels[0].age, milliseconds(400));
+}
+
+// Guards against a job that goes on at the daemon that has it: the scheduler
+// does not stop it, for example because it stands still.
+TEST_F(EntryDaemonErrorTest, CancelFromAnotherDaemonEndsTheJob) {
+  this->MakePeerTheScheduler();
+  this->PostJob(seconds(4));
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return !this->submissions.empty(); }, seconds(2)));
+  this->client->Call(this->daemon_endpoint,
+                     {.path = "/scheduler/cancels",
+                      .headers = {},
+                      .body = EncodePeerMessage(JobCancels{
+                          kOtherOrigin, {{kJob, milliseconds(10)}}})},
+                     seconds(1), [](const HttpResult&) {});
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return this->post_status != 0; }, seconds(1)));
+  EXPECT_EQ(this->post_status, 504);
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return !this->cancels.empty(); }, seconds(1)));
+  EXPECT_TRUE(this->cancels[0].starts_with("vm-1/"));
+}
+
 }  // namespace
 }  // namespace sequoiapath
--- a/tests/error/job_gateway_test.cc
+++ b/tests/error/job_gateway_test.cc
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -19,6 +20,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr const char* kJob = "5c0e7a21d94b36f8";
 constexpr const char* kPath = "/check/5c0e7a21d94b36f8";
 constexpr const char* kBody =
     R"({"spec":"text","bestEffort":true,"steps":[{"count":2,"estMs":100}]})";
@@ -47,10 +49,18 @@
               this->submissions.back().callback(
                   Answered(StepJobOutcome::kCancelled));
             },
-        .cancel_of_any_daemon =
-            [this](const std::string& to, const std::string& /*job*/) {
-              this->cancelled_of_any_daemon.push_back(to);
-            }};
+        .cancel_everywhere =
+            [this](const std::string& job) {
+              this->cancelled_everywhere.push_back(job);
+            },
+        .cancel_age =
+            [this](const std::string& job) -> std::optional<Duration> {
+          const auto& jobs = this->cancelled_everywhere;
+          if (std::find(jobs.begin(), jobs.end(), job) == jobs.end()) {
+            return std::nullopt;
+          }
+          return milliseconds(0);
+        }};
     this->gateway = JobGatewayBuilder(&this->loop, platform::MakeCallerCodec(),
                                       std::move(access))
                         .Build();
@@ -90,6 +100,24 @@
         });
   }
 
+  // Cancels the job. The status is stored in `delete_status` when it arrives.
+  void Delete() {
+    HttpRequest request;
+    request.method = "DELETE";
+    request.path = kPath;
+    request.headers = {{"host", "desk.example"}};
+    this->client->Send(
+        std::move(request), seconds(10), [this](const HttpResult& result) {
+          if (const auto* received = std::get_if<HttpResponse>(&result)) {
+            this->delete_status = received->status;
+          }
+        });
+  }
+  bool WaitForDelete() {
+    return RunUntil(
+        &this->loop, [this] { return this->delete_status != 0; }, seconds(2));
+  }
+
   bool WaitForSubmissions(std::size_t count) {
     return RunUntil(
         &this->loop, [&] { return this->submissions.size() >= count; },
@@ -109,12 +137,13 @@
   FencingToken fence = 5;
   std::vector<Submission> submissions;
   std::vector<std::string> cancelled;
-  std::vector<std::string> cancelled_of_any_daemon;
+  std::vector<std::string> cancelled_everywhere;  // Jobs.
   bool answers_cancel_at_once = false;
   std::unique_ptr<JobGateway> gateway;
   std::unique_ptr<HttpServer> server;
   std::unique_ptr<HttpClient> client;
   std::optional<HttpResponse> response;
+  int delete_status = 0;
 };
 
 TEST_F(JobGatewayErrorTest, RefusesWithoutAConfiguration) {
@@ -335,5 +364,59 @@
   EXPECT_EQ(this->submissions[2].job.generation, 2U);
 }
 
+// Guards against a cancel that is lost because no scheduler is known, while
+// another daemon has the job.
+TEST_F(JobGatewayErrorTest, CancelWithoutASchedulerReachesAllDaemons) {
+  this->SetRoutes();
+  this->leader.clear();
+  this->Delete();
+  ASSERT_TRUE(this->WaitForDelete());
+  EXPECT_EQ(this->delete_status, 410);
+  EXPECT_EQ(this->cancelled_everywhere, std::vector<std::string>{kJob});
+}
+
+// Guards against a cancelled job that goes on because its caller's repeated
+// request is with another daemon.
+TEST_F(JobGatewayErrorTest, CancelOfAKnownJobReachesAllDaemons) {
+  this->SetRoutes();
+  this->Post(seconds(3));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  this->Delete();
+  ASSERT_TRUE(this->WaitForDelete());
+  EXPECT_EQ(this->delete_status, 200);
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->status, 504);
+  EXPECT_EQ(this->cancelled, std::vector<std::string>{"vm-1"});
+  EXPECT_EQ(this->cancelled_everywhere, std::vector<std::string>{kJob});
+}
+
+// Guards against tasks of a job whose cancel overtook its request.
+TEST_F(JobGatewayErrorTest, CancelledJobIsNotSubmitted) {
+  this->SetRoutes();
+  this->Delete();
+  ASSERT_TRUE(this->WaitForDelete());
+  this->Post(seconds(3));
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->status, 504);
+  EXPECT_TRUE(this->submissions.empty());
+}
+
+// Guards against a job that its daemon submits to the next scheduler after the
+// caller has cancelled it at another daemon.
+TEST_F(JobGatewayErrorTest, CancelFromAnotherDaemonEndsTheJob) {
+  this->SetRoutes();
+  this->Post(seconds(3));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  EXPECT_TRUE(this->gateway->CancelForCaller(kJob));
+  EXPECT_FALSE(this->gateway->CancelForCaller(kJob));
+  ASSERT_TRUE(this->WaitForResponse());
+  EXPECT_EQ(this->response->status, 504);
+  EXPECT_EQ(this->cancelled, std::vector<std::string>{"vm-1"});
+  this->leader = "vm-2";
+  this->gateway->LeaderChanged();
+  RunFor(&this->loop, milliseconds(100));
+  EXPECT_EQ(this->submissions.size(), 1U);
+}
+
 }  // namespace
 }  // namespace sequoiapath
--- a/tests/fuzz/peer_message_test.cc
+++ b/tests/fuzz/peer_message_test.cc
@@ -142,6 +142,18 @@
   EXPECT_NE(GetFailure(DecodePeerMessage<DaemonReport>(bytes)), nullptr);
 }
 
+// Guards against cancels that are rejected during an update: the previous
+// versions name only the job.
+TEST(PeerMessageFuzz, CancelWithoutTheAppendedFieldDecodes) {
+  std::string bytes = EncodePeerMessage(CancelStepJob{"j1", ""});
+  ASSERT_EQ(bytes, "\x92\xa2j1\xa0");
+  const auto decoded = DecodePeerMessage<CancelStepJob>("\x91\xa2j1");
+  const auto* read = std::get_if<CancelStepJob>(&decoded);
+  ASSERT_NE(read, nullptr);
+  EXPECT_EQ(read->job, "j1");
+  EXPECT_EQ(read->sender, "");
+}
+
 // Decodes `bytes` as every type and ignores the results. The decoder must
 // neither throw nor read out of bounds.
 void DecodeAsEveryType(std::string_view bytes) {
@@ -154,7 +166,11 @@
 std::vector<std::string> Corpus() {
   return {EncodePeerMessage(SampleHeartbeat()),
           EncodePeerMessage(SampleDelegate()),
-          EncodePeerMessage(SampleHandover())};
+          EncodePeerMessage(SampleHandover()),
+          EncodePeerMessage(
+              JobCancels{"vm-1/7",
+                         {{"j1", std::chrono::milliseconds(5)},
+                          {"j2", std::chrono::milliseconds(70'000)}}})};
 }
 
 // Guards against daemons that hear nobody once their machines have run for two
