Number submissions, so that a cancel names those that it covers

Seen: a daemon cancels its submission of a job, and the job returns to the same scheduler. TCP delivers the cancel after the new submission and ends it; the caller gets a 504. In the other order the cancel was forgotten and the submission started the job.

Cause: a cancel names only the job and its daemon. The generation does not tell submissions apart, because it begins at zero again when the caller sends the job a second time to the same daemon.

Change: StepJob and CancelStepJob name the number of the submission, which rises with each one that a daemon process makes. A cancel covers the daemon's submissions up to its number. The scheduler keeps it for 4 s (at most 20,000) and does not accept a submission that it covers, nor one that is older than the submission that it has from the same daemon. A submission arrives at most 0.6 s after the heartbeat on which it is based, so 4 s are enough. Messages of the version before have no number and are handled as before. SchedulerService::Cancel has no caller left and is removed.

New log lines: submission_cancelled and submission_superseded.

--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -22,6 +22,7 @@
 #include <string_view>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -232,6 +233,14 @@
     TimePoint at;
   };
   std::unordered_map<std::string, RetainedAnswer> answers;
+  struct CancelledSubmission {
+    std::uint64_t submission = 0;  // The highest one that is cancelled.
+    TimePoint at;
+  };
+  // By job and daemon: cancelled submissions, which may arrive after their
+  // cancel. Kept for `retention_time`.
+  std::map<std::pair<std::string, std::string>, CancelledSubmission>
+      cancelled_submissions;
   // Workers assigned to this daemon's side of a partition; used if `partial`.
   std::set<std::string> home_workers;
   // A worker that becomes foreign before this time is claimed again at once.
@@ -314,9 +323,23 @@
 void SubmitJob(TaskScheduler* scheduler, StepJob job, TimePoint now,
                const std::string& origin = "");
 
+// Returns whether the daemon `origin` has cancelled this submission of a job or
+// made a later one. Messages on different connections may overtake each other,
+// so a submission may arrive after its cancel. It must not be accepted.
+bool IsSupersededSubmission(const TaskScheduler& scheduler, const StepJob& job,
+                            const std::string& origin);
+
 // Cancels a job and stops its tasks. Returns false if the job is unknown.
 bool CancelJob(TaskScheduler* scheduler, const std::string& job, TimePoint now);
 
+// Cancels the submissions of a job that the daemon `origin` has made up to the
+// number `submission`; all that have arrived if it is zero. Has no effect on a
+// job that the daemon has submitted again since, or that another daemon has
+// submitted. Returns whether a job was stopped.
+bool CancelSubmission(TaskScheduler* scheduler, const std::string& job,
+                      const std::string& origin, std::uint64_t submission,
+                      TimePoint now);
+
 // Applies a caller's cancel: records it, cancels the job if this scheduler has
 // it, and rejects later submissions of it. `learned_from` names the daemon
 // process that sent the cancel; empty if a caller sent it to this daemon.
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -35,6 +35,9 @@
 // How long a worker gets no new task after it rejected a start order for lack
 // of capacity or because the order's lease had expired.
 constexpr Duration kStartRejectionPause = milliseconds(300);
+// Number of cancelled submissions that are kept. Further ones are not kept:
+// they matter only if they arrive after their cancel.
+constexpr std::size_t kMaxCancelledSubmissions = 20'000;
 constexpr Duration kLongestRenewalBackoff = milliseconds(500);
 // Weight of the latest run in the moving average of a worker's speed.
 constexpr double kSpeedSmoothing = 0.2;
@@ -551,6 +554,9 @@
   std::erase_if(scheduler->completed_before_submission, [&](const auto& entry) {
     return now - entry.second > retention_time;
   });
+  std::erase_if(scheduler->cancelled_submissions, [&](const auto& entry) {
+    return now - entry.second.at > retention_time;
+  });
 }
 
 // Returns whether the job cannot end before its caller stops waiting. A job
@@ -631,6 +637,16 @@
   AwaitFormerRuns(scheduler, job, now);
 }
 
+void KeepCancelledSubmission(TaskScheduler* scheduler,
+                             const std::pair<std::string, std::string>& key,
+                             std::uint64_t submission, TimePoint now) {
+  auto& kept = scheduler->cancelled_submissions;
+  if (kept.size() >= kMaxCancelledSubmissions && !kept.contains(key)) return;
+  TaskScheduler::CancelledSubmission& cancelled = kept[key];
+  cancelled.submission = std::max(cancelled.submission, submission);
+  cancelled.at = now;
+}
+
 // Answers the submission of a job that its caller has cancelled. Returns false
 // if there is no such cancel.
 bool RejectCancelledJob(TaskScheduler* scheduler, const StepJob& job,
@@ -943,6 +959,7 @@
   scheduler->jobs.clear();
   scheduler->queue.clear();
   scheduler->answers.clear();
+  scheduler->cancelled_submissions.clear();
   scheduler->completed_before_submission.clear();
   for (auto& [id, worker] : scheduler->workers) {
     worker.runs.clear();
@@ -1066,6 +1083,7 @@
   ScheduledJob* known = internal::FindJob(scheduler, id);
   if (known != nullptr) {
     known->origin = origin;
+    known->job.submission = job.submission;
     internal::ResumeJob(scheduler, known, job, now);
     return;
   }
@@ -1085,6 +1103,19 @@
   internal::AdoptKnownTasks(scheduler, id, now);
 }
 
+bool IsSupersededSubmission(const TaskScheduler& scheduler, const StepJob& job,
+                            const std::string& origin) {
+  if (job.submission == 0) return false;
+  const auto cancelled = scheduler.cancelled_submissions.find({job.id, origin});
+  if (cancelled != scheduler.cancelled_submissions.end() &&
+      job.submission <= cancelled->second.submission) {
+    return true;
+  }
+  const auto known = scheduler.jobs.find(job.id);
+  return known != scheduler.jobs.end() && known->second.origin == origin &&
+         job.submission < known->second.job.submission;
+}
+
 bool CancelJob(TaskScheduler* scheduler, const std::string& job,
                TimePoint now) {
   ScheduledJob* found = internal::FindJob(scheduler, job);
@@ -1096,6 +1127,19 @@
   return true;
 }
 
+bool CancelSubmission(TaskScheduler* scheduler, const std::string& job,
+                      const std::string& origin, std::uint64_t submission,
+                      TimePoint now) {
+  if (submission != 0 && scheduler->fence != 0) {
+    internal::KeepCancelledSubmission(scheduler, {job, origin}, submission,
+                                      now);
+  }
+  const ScheduledJob* known = internal::FindJob(scheduler, job);
+  if (known == nullptr || known->origin != origin) return false;
+  if (submission != 0 && known->job.submission > submission) return false;
+  return CancelJob(scheduler, job, now);
+}
+
 bool ApplyCallerCancel(TaskScheduler* scheduler, const JobCancel& cancel,
                        std::string_view learned_from, TimePoint now) {
   RemoveOldCancels(&scheduler->cancels, now);
--- a/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
@@ -70,6 +70,9 @@
   // The process that sent the message. Empty: the message comes from a version
   // without this field.
   std::string sender;
+  // The highest submission of the daemon that the cancel covers. Zero: all, or
+  // the message comes from a version without this field.
+  std::uint64_t submission = 0;
 };
 
 // A caller's cancel of a job.
--- a/packages/protocol/include/sequoiapath/protocol/step_job.h
+++ b/packages/protocol/include/sequoiapath/protocol/step_job.h
@@ -89,6 +89,10 @@
   // When that scheduler sent the latest heartbeat that the submitting daemon
   // has received, on the scheduler's clock.
   DaemonTime heartbeat_sent_at;
+  // Number of the submission, which increases with each one that the submitting
+  // daemon process makes. Zero: the submission comes from a version without
+  // this field.
+  std::uint64_t submission = 0;
 };
 
 // Returns a lower bound of the job's run time: half of its critical path, since
--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -89,13 +89,13 @@
 SEQUOIAPATH_FIELDS(StepJob, m.id, m.spec, m.steps, m.service, m.priority,
                    m.max_attempts, m.stretch, m.slack, m.remaining, m.age,
                    m.generation, m.former_fence, m.former_workers,
-                   m.scheduler_fence, m.heartbeat_sent_at)
+                   m.scheduler_fence, m.heartbeat_sent_at, m.submission)
 SEQUOIAPATH_FIELDS(StepJobAnswer, m.outcome, m.reason, m.retry_after)
 SEQUOIAPATH_FIELDS(WorkerEntry, m.id, m.value)
 SEQUOIAPATH_FIELDS(CatalogRequest, m.vm)
 SEQUOIAPATH_FIELDS(CatalogSnapshot, m.revision, m.config_version, m.config,
                    m.workers)
-SEQUOIAPATH_FIELDS(CancelStepJob, m.job, m.sender)
+SEQUOIAPATH_FIELDS(CancelStepJob, m.job, m.sender, m.submission)
 SEQUOIAPATH_FIELDS(JobCancel, m.job, m.age)
 SEQUOIAPATH_FIELDS(JobCancels, m.origin, m.cancels)
 SEQUOIAPATH_FIELDS(TaskName, m.job, m.step, m.index)
--- a/packages/state/include/sequoiapath/state/job_gateway.h
+++ b/packages/state/include/sequoiapath/state/job_gateway.h
@@ -37,6 +37,12 @@
 
 using SubmissionCallback = std::function<void(const SubmissionResult& result)>;
 
+// A cancel of the submissions of a job that this daemon has made.
+struct SubmissionCancel {
+  std::string job;
+  std::uint64_t submission = 0;  // Number of the latest one that it covers.
+};
+
 // Functions through which the gateway reaches the scheduler.
 struct SchedulerAccess {
   // Returns the VM of this daemon's current scheduler; empty if none is known.
@@ -48,9 +54,11 @@
   std::function<void(const std::string& leader, StepJob job,
                      SubmissionCallback callback)>
       submit;
-  // Cancels this daemon's submission of a job at `leader`. Has no effect on a
-  // job that another daemon has submitted there since.
-  std::function<void(const std::string& leader, const std::string& job)> cancel;
+  // Cancels this daemon's submissions of a job at `leader`. Has no effect on a
+  // later submission, or on a job that another daemon has submitted there
+  // since.
+  std::function<void(const std::string& leader, const SubmissionCancel& cancel)>
+      cancel;
   // Cancels a job for its caller at all daemons, including those that are out
   // of reach now, whichever daemon submitted it.
   std::function<void(const std::string& job)> cancel_everywhere;
--- a/packages/state/include/sequoiapath/state/scheduler_service.h
+++ b/packages/state/include/sequoiapath/state/scheduler_service.h
@@ -4,6 +4,7 @@
 #ifndef SEQUOIAPATH_STATE_SCHEDULER_SERVICE_H_
 #define SEQUOIAPATH_STATE_SCHEDULER_SERVICE_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -61,7 +62,8 @@
   // before Submit returns. If the scheduler already has the job, the job
   // continues and the new callback replaces the earlier one. Answers with
   // kNotAccepted while this daemon does not schedule, and if the submission is
-  // not current (see IsCurrentSubmission).
+  // not current or is superseded (see IsCurrentSubmission and
+  // IsSupersededSubmission).
   void Submit(StepJob job, const std::string& origin, StepJobCallback callback);
 
   // Records that the daemon `origin` was alive at `at`, because it has answered
@@ -72,19 +74,17 @@
   // SchedulerTimes::daemon_timeout, and answers them with kMoved.
   void ReturnJobsOfUnconfirmedDaemons();
 
-  // Cancels a job and stops its tasks. Returns false if the job is unknown.
-  bool Cancel(const std::string& job);
-
   // Applies a caller's cancel (see sequoiapath::ApplyCallerCancel). Returns
   // false if it is already recorded or too old.
   bool ApplyCallerCancel(const JobCancel& cancel,
                          std::string_view learned_from);
 
-  // Cancels a job if the daemon `origin` was the last to submit it. After a
+  // Cancels the submissions of a job that the daemon `origin` has made up to
+  // the number `submission`; all that have arrived if it is zero. After a
   // broken connection, the caller may already have sent the job through another
-  // daemon. Returns false if the job is unknown or was submitted by another
-  // daemon.
-  bool CancelSubmission(const std::string& job, std::string_view origin);
+  // daemon, so a job that another daemon was the last to submit continues.
+  void CancelSubmission(const std::string& job, const std::string& origin,
+                        std::uint64_t submission);
 
   // Cancels all jobs of the daemon `origin`, which has ended or is unreachable.
   // The daemon submits them to another scheduler, and this one must not run
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -659,9 +659,10 @@
 // A cancel of a job at another daemon.
 struct RemoteCancel {
   std::string scheduler;
-  std::string job;
-  bool of_any_daemon = false;  // Else only of this daemon's submission.
-  TimePoint last_attempt;      // No attempt begins after this time.
+  // The cancelled submissions of this daemon; of all daemons if its number is
+  // zero.
+  SubmissionCancel cancelled;
+  TimePoint last_attempt;  // No attempt begins after this time.
 };
 
 // Sends the cancel until the scheduler has answered it, because a scheduler
@@ -669,41 +670,51 @@
 void SendCancel(EntryDaemonState* daemon, const RemoteCancel& cancel) {
   const Endpoint* endpoint = EndpointOf(*daemon, cancel.scheduler);
   if (endpoint == nullptr) return;
-  PeerCall call{
-      .path = kCancelPath,
-      .headers = {},
-      .body = EncodePeerMessage(CancelStepJob{cancel.job, OwnOrigin(*daemon)})};
-  if (!cancel.of_any_daemon) {
+  PeerCall call{.path = kCancelPath,
+                .headers = {},
+                .body = EncodePeerMessage(
+                    CancelStepJob{cancel.cancelled.job, OwnOrigin(*daemon),
+                                  cancel.cancelled.submission})};
+  if (cancel.cancelled.submission != 0) {
     call.headers.push_back({kOriginHeader, OwnOrigin(*daemon)});
   }
-  daemon->peers->Call(
-      *endpoint, std::move(call), kHeartbeatTimeout,
-      [daemon, cancel](const HttpResult& result) {
-        const auto* error = std::get_if<HttpError>(&result);
-        if (error == nullptr) return;
-        Log(LogLevel::kWarning, "cancel_unanswered",
-            {{"id", cancel.job}, {"scheduler", cancel.scheduler}});
-        // Either the scheduler's process has ended, or the scheduler cannot be
-        // reached and stops all jobs of this daemon.
-        if (error->kind == HttpErrorKind::kConnectFailed) return;
-        daemon->loop->Schedule(kCancelRetryDelay, [daemon, cancel] {
-          if (daemon->loop->Now() > cancel.last_attempt) return;
-          // The job has returned to this scheduler.
-          if (daemon->gateway->IsSubmittedTo(cancel.job, cancel.scheduler)) {
-            return;
-          }
-          SendCancel(daemon, cancel);
-        });
-      });
+  daemon->peers->Call(*endpoint, std::move(call), kHeartbeatTimeout,
+                      [daemon, cancel](const HttpResult& result) {
+                        const auto* error = std::get_if<HttpError>(&result);
+                        if (error == nullptr) return;
+                        Log(LogLevel::kWarning, "cancel_unanswered",
+                            {{"id", cancel.cancelled.job},
+                             {"scheduler", cancel.scheduler},
+                             {"submission", cancel.cancelled.submission}});
+                        // Either the scheduler's process has ended, or the
+                        // scheduler cannot be reached and stops all jobs of
+                        // this daemon.
+                        if (error->kind == HttpErrorKind::kConnectFailed)
+                          return;
+                        daemon->loop->Schedule(
+                            kCancelRetryDelay, [daemon, cancel] {
+                              if (daemon->loop->Now() > cancel.last_attempt)
+                                return;
+                              // The job has returned to this scheduler, which
+                              // does not tell submissions apart if it is of an
+                              // earlier version.
+                              if (daemon->gateway->IsSubmittedTo(
+                                      cancel.cancelled.job, cancel.scheduler)) {
+                                return;
+                              }
+                              SendCancel(daemon, cancel);
+                            });
+                      });
 }
 
 void CancelAtLeader(EntryDaemonState* daemon, const std::string& leader,
-                    const std::string& job) {
+                    const SubmissionCancel& cancel) {
   if (leader != daemon->election.self.vm) {
     SendCancel(daemon,
-               {leader, job, false, daemon->loop->Now() + kCancelRetryTime});
+               {leader, cancel, daemon->loop->Now() + kCancelRetryTime});
   } else {
-    daemon->service->CancelSubmission(job, OwnOrigin(*daemon));
+    daemon->service->CancelSubmission(cancel.job, OwnOrigin(*daemon),
+                                      cancel.submission);
   }
 }
 
@@ -734,7 +745,7 @@
   if (leader.empty() || leader == daemon->election.self.vm) return;
   // A scheduler of an earlier version keeps no cancels.
   SendCancel(daemon,
-             {leader, job, true, daemon->loop->Now() + kCancelRetryTime});
+             {leader, {job, 0}, daemon->loop->Now() + kCancelRetryTime});
 }
 
 std::optional<Duration> CancelAge(const EntryDaemonState& daemon,
@@ -755,8 +766,8 @@
             SubmitToLeader(daemon, leader, std::move(job), callback);
           },
       .cancel =
-          [daemon](const std::string& leader, const std::string& job) {
-            CancelAtLeader(daemon, leader, job);
+          [daemon](const std::string& leader, const SubmissionCancel& cancel) {
+            CancelAtLeader(daemon, leader, cancel);
           },
       .cancel_everywhere =
           [daemon](const std::string& job) { CancelEverywhere(daemon, job); },
@@ -913,7 +924,8 @@
     return;
   }
   if (const auto origin = FindHeader(request.headers, kOriginHeader)) {
-    daemon->service->CancelSubmission(decoded->job, *origin);
+    daemon->service->CancelSubmission(decoded->job, std::string(*origin),
+                                      decoded->submission);
   } else {
     // A daemon of an earlier version names no sender and does not spread the
     // cancel, so this one does.
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -232,10 +232,12 @@
   if (job->was_submitted) ++job->job.generation;
   job->was_submitted_before = std::exchange(job->was_submitted, true);
   job->submitted_to = leader;
-  job->submission = gateway->next_submission++;
+  const std::uint64_t former_submission =
+      std::exchange(job->submission, gateway->next_submission++);
   if (!job->last_scheduler.empty() && job->last_scheduler != leader) {
     // The former scheduler may be reachable and still run tasks of the job.
-    gateway->access.cancel(job->last_scheduler, job->job.id);
+    gateway->access.cancel(job->last_scheduler,
+                           {job->job.id, former_submission});
   }
   job->former_scheduler = std::exchange(job->last_scheduler, leader);
   StepJob copy = job->job;
@@ -256,6 +258,7 @@
   copy.remaining =
       std::max(milliseconds(0),
                std::chrono::duration_cast<milliseconds>(job->expires - now));
+  copy.submission = job->submission;
   const std::string id = copy.id;
   const std::uint64_t submission = job->submission;
   gateway->access.submit(
@@ -269,9 +272,9 @@
 // the scheduler's answer to it is ignored: a scheduler in this process answers
 // before `cancel` returns.
 void CancelSubmission(JobGatewayState* gateway, GatewayJob* job) {
-  job->submission = 0;
+  const std::uint64_t submission = std::exchange(job->submission, 0);
   if (job->submitted_to.empty()) return;
-  gateway->access.cancel(job->submitted_to, job->job.id);
+  gateway->access.cancel(job->submitted_to, {job->job.id, submission});
 }
 
 // Cancels a job of this daemon and answers it. Returns false if this daemon
--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -189,6 +189,41 @@
        {"heartbeat_age_ms", heartbeat_age / milliseconds(1)}});
 }
 
+// Logs a submission that its daemon has cancelled or repeated before it
+// arrived.
+void LogSupersededSubmission(const StepJob& job, std::string_view origin) {
+  Log(LogLevel::kInfo, "submission_superseded",
+      {{"id", job.id},
+       {"from", origin},
+       {"generation", job.generation},
+       {"submission", job.submission}});
+}
+
+// Logs the cancel of a submission and the job that it meets here.
+void LogSubmissionCancel(const SchedulerServiceState& service,
+                         const std::string& job, std::string_view origin,
+                         std::uint64_t submission) {
+  const auto known = service.scheduler.jobs.find(job);
+  if (known == service.scheduler.jobs.end()) {
+    Log(LogLevel::kInfo, "submission_cancelled",
+        {{"id", job},
+         {"from", origin},
+         {"submission", submission},
+         {"known", false}});
+    return;
+  }
+  const ScheduledJob& held = known->second;
+  Log(LogLevel::kInfo, "submission_cancelled",
+      {{"id", job},
+       {"from", origin},
+       {"submission", submission},
+       {"known", true},
+       {"held_for", held.origin},
+       {"held_submission", held.job.submission},
+       {"generation", held.job.generation},
+       {"age_ms", (service.loop->Now() - held.submitted) / milliseconds(1)}});
+}
+
 // Cancels the jobs that the daemon `origin` submitted. Returns the removed
 // waiters, which have not been answered.
 std::vector<AnswerWaiter> StopJobsOf(SchedulerServiceState* service,
@@ -298,6 +333,11 @@
     callback(internal::NotAcceptedAnswer("stale_submission"));
     return;
   }
+  if (IsSupersededSubmission(this->state->scheduler, job, origin)) {
+    internal::LogSupersededSubmission(job, origin);
+    callback(internal::NotAcceptedAnswer("superseded_submission"));
+    return;
+  }
   this->state->waiters[job.id] = {origin, std::move(callback)};
   SubmitJob(&this->state->scheduler, std::move(job), this->state->loop->Now(),
             origin);
@@ -305,14 +345,6 @@
   internal::ScheduleSchedulerRun(this->state.get());
 }
 
-bool SchedulerService::Cancel(const std::string& job) {
-  const bool known =
-      CancelJob(&this->state->scheduler, job, this->state->loop->Now());
-  internal::ExecuteActions(this->state.get());
-  internal::ScheduleSchedulerRun(this->state.get());
-  return known;
-}
-
 bool SchedulerService::ApplyCallerCancel(const JobCancel& cancel,
                                          std::string_view learned_from) {
   const bool added = sequoiapath::ApplyCallerCancel(
@@ -322,13 +354,14 @@
   return added;
 }
 
-bool SchedulerService::CancelSubmission(const std::string& job,
-                                        std::string_view origin) {
-  const auto waiter = this->state->waiters.find(job);
-  if (waiter != this->state->waiters.end() && waiter->second.origin != origin) {
-    return false;
-  }
-  return this->Cancel(job);
+void SchedulerService::CancelSubmission(const std::string& job,
+                                        const std::string& origin,
+                                        std::uint64_t submission) {
+  internal::LogSubmissionCancel(*this->state, job, origin, submission);
+  sequoiapath::CancelSubmission(&this->state->scheduler, job, origin,
+                                submission, this->state->loop->Now());
+  internal::ExecuteActions(this->state.get());
+  internal::ScheduleSchedulerRun(this->state.get());
 }
 
 void SchedulerService::CancelJobsOf(std::string_view origin) {
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -785,5 +785,56 @@
   EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kCancelled);
 }
 
+StepJob Submission(std::uint64_t number) {
+  StepJob job = Job("j1", 4);
+  job.submission = number;
+  return job;
+}
+
+// Guards against the end of a job that has returned to this scheduler, when TCP
+// delivers the cancel of its earlier submission. The caller got a 504.
+TEST(TaskSchedulerTest, LateCancelKeepsTheLaterSubmission) {
+  SchedulerHarness harness(4);
+  ConfirmDaemon(&harness.scheduler, "vm-2/7", harness.now);
+  harness.Submit(Submission(3), "vm-2/7");
+  EXPECT_FALSE(
+      CancelSubmission(&harness.scheduler, "j1", "vm-2/7", 2, harness.now));
+  EXPECT_EQ(harness.RunningOf("j1"), 4U);
+  EXPECT_FALSE(
+      CancelSubmission(&harness.scheduler, "j1", "vm-3/9", 9, harness.now));
+  EXPECT_EQ(harness.RunningOf("j1"), 4U);
+  EXPECT_TRUE(
+      CancelSubmission(&harness.scheduler, "j1", "vm-2/7", 3, harness.now));
+  harness.Run(milliseconds(50));
+  EXPECT_EQ(harness.RunningOf("j1"), 0U);
+}
+
+// Guards against tasks of a cancelled submission that its cancel has overtaken.
+TEST(TaskSchedulerTest, SubmissionAfterItsCancelIsSuperseded) {
+  SchedulerHarness harness(4);
+  const TaskScheduler& scheduler = harness.scheduler;
+  CancelSubmission(&harness.scheduler, "j1", "vm-2/7", 2, harness.now);
+  EXPECT_TRUE(IsSupersededSubmission(scheduler, Submission(1), "vm-2/7"));
+  EXPECT_TRUE(IsSupersededSubmission(scheduler, Submission(2), "vm-2/7"));
+  // The caller has sent the job again, to the same daemon or another one.
+  EXPECT_FALSE(IsSupersededSubmission(scheduler, Submission(3), "vm-2/7"));
+  EXPECT_FALSE(IsSupersededSubmission(scheduler, Submission(1), "vm-3/9"));
+  // A daemon of an earlier version does not number its submissions.
+  EXPECT_FALSE(IsSupersededSubmission(scheduler, Submission(0), "vm-2/7"));
+  harness.Run(milliseconds(5000));
+  EXPECT_TRUE(scheduler.cancelled_submissions.empty());
+}
+
+// Guards against a late submission that takes the job's answer away from a
+// later one of the same daemon.
+TEST(TaskSchedulerTest, SubmissionAfterALaterOneIsSuperseded) {
+  SchedulerHarness harness(4);
+  harness.Submit(Submission(3), "vm-2/7");
+  EXPECT_TRUE(
+      IsSupersededSubmission(harness.scheduler, Submission(2), "vm-2/7"));
+  EXPECT_FALSE(
+      IsSupersededSubmission(harness.scheduler, Submission(4), "vm-2/7"));
+}
+
 }  // namespace
 }  // namespace sequoiapath
