Send the cancel of an expired job once, and others at growing intervals

The scheduler, which read its messages seconds late, got each cancel again every 50 ms for 2 s.

Cause: a daemon repeats an unanswered cancel at a fixed interval, also that of a job whose deadline has passed. The scheduler ends such a job by itself at the deadline, or rejects its submission as too old if it reads it over 0.6 s late, so nothing depends on that cancel.

Change: the cancel of a job at its caller's deadline is sent once. Others are repeated for 2 s as before, but the interval doubles from 50 ms on. The line cancel_unanswered says whether the cancel is repeated.

EntryDaemonErrorTest.UnansweredCancelIsRepeated demanded the repetition of the cancel of an expired job. It now demands the same of the cancel of a job whose caller has gone. What it guarded for an expired job, two runs at a time, is guarded by the new TaskSchedulerTest.RunsOfAnExpiredJobEndWithoutACancel: the runs end at the deadline without a cancel.

Measured: when the scheduler closes each connection, 6 attempts in place of 40.

--- a/packages/state/include/sequoiapath/state/job_gateway.h
+++ b/packages/state/include/sequoiapath/state/job_gateway.h
@@ -41,6 +41,9 @@
 struct SubmissionCancel {
   std::string job;
   std::uint64_t submission = 0;  // Number of the latest one that it covers.
+  // The caller's deadline has passed, at which the scheduler ends the job by
+  // itself. A lost cancel has no effect then.
+  bool expired = false;
 };
 
 // Functions through which the gateway reaches the scheduler.
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -40,7 +40,9 @@
 // Added to a job's remaining time as the timeout of its submission, so that the
 // reply can arrive.
 constexpr milliseconds kSubmissionTimeoutMargin{300};
-constexpr Duration kCancelRetryDelay = milliseconds(50);
+// Doubles with each attempt, because a scheduler that is overloaded closes many
+// connections, and cancels at a fixed interval would add to its load.
+constexpr Duration kFirstCancelRetryDelay = milliseconds(50);
 // A scheduler that receives nothing from this daemon for a shorter time cancels
 // all of the daemon's jobs.
 constexpr Duration kCancelRetryTime = milliseconds(2000);
@@ -663,47 +665,57 @@
   // zero.
   SubmissionCancel cancelled;
   TimePoint last_attempt;  // No attempt begins after this time.
+  Duration retry_delay = kFirstCancelRetryDelay;
 };
 
+void SendCancel(EntryDaemonState* daemon, const RemoteCancel& cancel);
+
+void RetryCancel(EntryDaemonState* daemon, RemoteCancel cancel) {
+  if (daemon->loop->Now() > cancel.last_attempt) return;
+  // The job has returned to this scheduler, which does not tell submissions
+  // apart if it is of an earlier version.
+  if (daemon->gateway->IsSubmittedTo(cancel.cancelled.job, cancel.scheduler)) {
+    return;
+  }
+  cancel.retry_delay *= 2;
+  SendCancel(daemon, cancel);
+}
+
+void OnCancelError(EntryDaemonState* daemon, const RemoteCancel& cancel,
+                   const HttpError& error) {
+  // A connection is refused if the scheduler's process has ended, or if the
+  // scheduler cannot be reached and stops all jobs of this daemon.
+  const bool retries =
+      !cancel.cancelled.expired && error.kind != HttpErrorKind::kConnectFailed;
+  Log(LogLevel::kWarning, "cancel_unanswered",
+      {{"id", cancel.cancelled.job},
+       {"scheduler", cancel.scheduler},
+       {"submission", cancel.cancelled.submission},
+       {"expired", cancel.cancelled.expired},
+       {"retries", retries}});
+  if (!retries) return;
+  daemon->loop->Schedule(cancel.retry_delay,
+                         [daemon, cancel] { RetryCancel(daemon, cancel); });
+}
+
 // Sends the cancel until the scheduler has answered it, because a scheduler
 // that has missed it would go on starting the job's tasks.
 void SendCancel(EntryDaemonState* daemon, const RemoteCancel& cancel) {
   const Endpoint* endpoint = EndpointOf(*daemon, cancel.scheduler);
   if (endpoint == nullptr) return;
-  PeerCall call{.path = kCancelPath,
-                .headers = {},
-                .body = EncodePeerMessage(
-                    CancelStepJob{cancel.cancelled.job, OwnOrigin(*daemon),
-                                  cancel.cancelled.submission})};
+  const CancelStepJob message{cancel.cancelled.job, OwnOrigin(*daemon),
+                              cancel.cancelled.submission};
+  PeerCall call{
+      .path = kCancelPath, .headers = {}, .body = EncodePeerMessage(message)};
   if (cancel.cancelled.submission != 0) {
     call.headers.push_back({kOriginHeader, OwnOrigin(*daemon)});
   }
   daemon->peers->Call(*endpoint, std::move(call), kHeartbeatTimeout,
                       [daemon, cancel](const HttpResult& result) {
                         const auto* error = std::get_if<HttpError>(&result);
-                        if (error == nullptr) return;
-                        Log(LogLevel::kWarning, "cancel_unanswered",
-                            {{"id", cancel.cancelled.job},
-                             {"scheduler", cancel.scheduler},
-                             {"submission", cancel.cancelled.submission}});
-                        // Either the scheduler's process has ended, or the
-                        // scheduler cannot be reached and stops all jobs of
-                        // this daemon.
-                        if (error->kind == HttpErrorKind::kConnectFailed)
-                          return;
-                        daemon->loop->Schedule(
-                            kCancelRetryDelay, [daemon, cancel] {
-                              if (daemon->loop->Now() > cancel.last_attempt)
-                                return;
-                              // The job has returned to this scheduler, which
-                              // does not tell submissions apart if it is of an
-                              // earlier version.
-                              if (daemon->gateway->IsSubmittedTo(
-                                      cancel.cancelled.job, cancel.scheduler)) {
-                                return;
-                              }
-                              SendCancel(daemon, cancel);
-                            });
+                        if (error != nullptr) {
+                          OnCancelError(daemon, cancel, *error);
+                        }
                       });
 }
 
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -236,8 +236,9 @@
       std::exchange(job->submission, gateway->next_submission++);
   if (!job->last_scheduler.empty() && job->last_scheduler != leader) {
     // The former scheduler may be reachable and still run tasks of the job.
-    gateway->access.cancel(job->last_scheduler,
-                           {job->job.id, former_submission});
+    gateway->access.cancel(
+        job->last_scheduler,
+        {.job = job->job.id, .submission = former_submission});
   }
   job->former_scheduler = std::exchange(job->last_scheduler, leader);
   StepJob copy = job->job;
@@ -274,7 +275,10 @@
 void CancelSubmission(JobGatewayState* gateway, GatewayJob* job) {
   const std::uint64_t submission = std::exchange(job->submission, 0);
   if (job->submitted_to.empty()) return;
-  gateway->access.cancel(job->submitted_to, {job->job.id, submission});
+  gateway->access.cancel(job->submitted_to,
+                         {.job = job->job.id,
+                          .submission = submission,
+                          .expired = gateway->loop->Now() >= job->expires});
 }
 
 // Cancels a job of this daemon and answers it. Returns false if this daemon
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -836,5 +836,21 @@
       IsSupersededSubmission(harness.scheduler, Submission(4), "vm-2/7"));
 }
 
+// Guards against two runs of a task at a time: the cancel of an expired job is
+// sent once and may be lost. After the 504, the caller sends the job through
+// another daemon, whose scheduler may start the tasks again.
+TEST(TaskSchedulerTest, RunsOfAnExpiredJobEndWithoutACancel) {
+  SchedulerHarness harness(4);
+  harness.run_time = milliseconds(5000);
+  StepJob job = Job("j1", 4);
+  job.remaining = milliseconds(300);
+  harness.Submit(job);
+  EXPECT_EQ(harness.RunningOf("j1"), 4U);
+  harness.Run(milliseconds(350));
+  EXPECT_EQ(harness.RunningOf("j1"), 0U);
+  ASSERT_TRUE(harness.AnswerOf("j1"));
+  EXPECT_EQ(harness.AnswerOf("j1")->outcome, StepJobOutcome::kExpired);
+}
+
 }  // namespace
 }  // namespace sequoiapath
--- a/tests/error/entry_daemon_test.cc
+++ b/tests/error/entry_daemon_test.cc
@@ -117,6 +117,10 @@
     } else if (request.path == "/scheduler/cancel") {
       this->cancels.push_back(
           std::string(FindHeader(request.headers, "x-origin").value_or("")));
+      if (this->closes_on_cancel) {
+        this->CloseConnectionsToPeer();
+        return;
+      }
       // The reply to the first cancel is lost.
       if (this->cancels.size() > 1) Respond(responder, "");
     } else if (request.path == "/scheduler/cancels") {
@@ -303,6 +307,7 @@
   DaemonReport peer_report;
   std::vector<HttpResponder> submissions;  // Received by the peer.
   bool replies_to_reports = true;          // Of the peer.
+  bool closes_on_cancel = false;           // The peer closes connections.
   std::vector<HttpResponder> unanswered_reports;
   std::vector<std::string> cancels;          // Their origins.
   std::vector<JobCancels> received_cancels;  // By the peer.
@@ -488,14 +493,15 @@
   this->ReplacePeerAsScheduler();
 }
 
-// Guards against two runs of a task at a time: the cancel of an expired job is
-// lost. After the 504, the caller sends the job through another daemon, whose
+// Guards against two runs of a task at a time: the cancel of a job whose caller
+// has gone is lost. The caller sends the job through another daemon, whose
 // scheduler may start the tasks again.
 TEST_F(EntryDaemonErrorTest, UnansweredCancelIsRepeated) {
   this->MakePeerTheScheduler();
-  this->PostJob(milliseconds(300));
+  this->PostJob(seconds(4));
   ASSERT_TRUE(RunUntil(
       &this->loop, [this] { return !this->submissions.empty(); }, seconds(2)));
+  this->caller->Cancel(this->caller_request);
   ASSERT_TRUE(RunUntil(
       &this->loop, [this] { return this->cancels.size() == 2; }, seconds(2)));
   EXPECT_TRUE(this->cancels[0].starts_with("vm-1/"));
@@ -504,6 +510,32 @@
   EXPECT_EQ(this->cancels.size(), 2U);
 }
 
+// Guards against a scheduler that breaks down under repeated cancels of jobs
+// that it has ended itself, at the deadlines of their callers.
+TEST_F(EntryDaemonErrorTest, CancelOfAnExpiredJobIsSentOnce) {
+  this->MakePeerTheScheduler();
+  this->PostJob(milliseconds(300));
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return this->post_status != 0; }, seconds(2)));
+  EXPECT_EQ(this->post_status, 504);
+  RunFor(&this->loop, seconds(2));
+  EXPECT_EQ(this->cancels.size(), 1U);
+}
+
+// Guards against the same for other cancels, when the scheduler closes its
+// connections at once: 40 attempts in the 2 s in which a cancel is repeated.
+TEST_F(EntryDaemonErrorTest, RepeatedCancelsBecomeRarer) {
+  this->MakePeerTheScheduler();
+  this->PostJob(seconds(4));
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return !this->submissions.empty(); }, seconds(2)));
+  this->closes_on_cancel = true;
+  this->caller->Cancel(this->caller_request);
+  this->SendReportsFor(milliseconds(2500));
+  EXPECT_GE(this->cancels.size(), 3U);
+  EXPECT_LE(this->cancels.size(), 7U);
+}
+
 // Guards against two runs of a task at a time, and against runs of a cancelled
 // job: the daemon keeps the job of a caller whose connection was reset, and
 // submits it to the next scheduler. The caller sends the job through another
