Examine the workers' reports once per pass, not once per waiting job

Seen by callers: after connections between daemons were reset, the scheduler was late for everything.

Cause: each resubmitted job looked up all 350 of its former workers and then all workers, every 20 ms.

Change: one summary of all workers' reports serves all waiting jobs of a pass. A job remembers the former worker that is unknown and looks up the others only once that one is known.

--- a/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
+++ b/packages/coordination/include/sequoiapath/coordination/task_scheduler.h
@@ -152,9 +152,9 @@
   bool former_runs_known = true;
   // When the leases that former schedulers granted have ended.
   TimePoint former_leases_end;
-  // When the scheduler next checks whether all workers have reported the runs
-  // that former schedulers started.
-  TimePoint next_report_check;
+  // One of `job.former_workers` that this scheduler did not know when it last
+  // looked; empty if it knew all of them or has not looked.
+  std::string unknown_worker;
 };
 
 struct SendStart {
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <utility>
 
 #include "daemon_confirmations.h"
@@ -598,6 +599,7 @@
   job->any_started = true;
   job->submitted = now;
   job->former_runs_known = false;
+  job->unknown_worker.clear();
   job->former_leases_end = now + scheduler->times.resubmission_wait;
   scheduler->last_resubmission = now;
 }
@@ -745,10 +747,11 @@
   std::stable_partition(jobs.begin(), jobs.end(), [](const ScheduledJob* job) {
     return job->has_crashes;
   });
+  std::optional<ReportSummary> reports;
   for (ScheduledJob* job : jobs) {
     if (view.largest_free_milli_cores < scheduler->smallest_demand) return;
     if (!IsDaemonConfirmed(*scheduler, *job, now)) continue;
-    if (!MayStartTasks(scheduler, job, now)) continue;
+    if (!MayStartTasks(scheduler, &reports, job, now)) continue;
     PlaceJob(scheduler, &view, job, now);
   }
 }
