Let a job continue that its daemon submits to the same scheduler again

Seen by callers: after a reset of the connections between daemons, jobs expired that their scheduler had held all along.

Change: the scheduler compares with the submission that it holds. If the same daemon sent it for the same request of the caller, and the generation is the following one, no other scheduler had the job in between, and the job goes on.

Evidence: TaskSchedulerTest.JobSubmittedAgainByItsDaemonDoesNotWait failed before. JobThatMayHaveBeenElsewhereWaits guards the other cases.

--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -626,17 +626,36 @@
   return inserted;
 }
 
+// Returns whether no other scheduler has had the job since this scheduler
+// received its present submission. A daemon raises the generation with each
+// submission, so its next one is the following generation. A caller that left
+// the daemon and sent the job to it again did so at least 1.3 s after its first
+// request, and the submission has been on its way for `max_heartbeat_age` at
+// most.
+bool HeldWithoutInterruption(const TaskScheduler& scheduler,
+                             const ScheduledJob& job, const StepJob& again,
+                             const std::string& origin, TimePoint now) {
+  const bool same_request =
+      now - again.age - job.arrived <= scheduler.times.max_heartbeat_age;
+  return same_request && !origin.empty() && job.origin == origin &&
+         again.generation == job.job.generation + 1;
+}
+
 // Applies a further submission of a job that this scheduler already has. If its
 // generation is higher, another scheduler may have had the job in between.
 void ResumeJob(TaskScheduler* scheduler, ScheduledJob* job,
-               const StepJob& again, TimePoint now) {
+               const StepJob& again, const std::string& origin, TimePoint now) {
+  const bool held =
+      HeldWithoutInterruption(*scheduler, *job, again, origin, now);
+  job->origin = origin;
+  job->job.submission = again.submission;
   if (again.generation <= job->job.generation) return;
   job->job.generation = again.generation;
   job->job.former_fence = again.former_fence;
   job->job.former_workers = again.former_workers;
   job->last_run =
       std::max(job->last_run, again.generation * kRunsPerGeneration);
-  AwaitFormerRuns(scheduler, job, now);
+  if (!held) AwaitFormerRuns(scheduler, job, now);
 }
 
 void KeepCancelledSubmission(TaskScheduler* scheduler,
@@ -1085,9 +1104,7 @@
   if (internal::RejectCancelledJob(scheduler, job, origin, now)) return;
   ScheduledJob* known = internal::FindJob(scheduler, id);
   if (known != nullptr) {
-    known->origin = origin;
-    known->job.submission = job.submission;
-    internal::ResumeJob(scheduler, known, job, now);
+    internal::ResumeJob(scheduler, known, job, origin, now);
     return;
   }
   ++scheduler->counts.jobs;
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -588,13 +588,12 @@
   return submission;
 }
 
-// Submits a job to this daemon's scheduler. A job that another scheduler had
-// before waits for a list of the workers, which is requested at once.
+// Submits a job to this daemon's scheduler. A job that another scheduler may
+// have had before waits for a list of the workers, which is requested at once.
 void SubmitToService(EntryDaemonState* daemon, StepJob job,
                      const std::string& origin, StepJobCallback callback) {
-  const bool resubmitted = job.generation > 0;
   daemon->service->Submit(std::move(job), origin, std::move(callback));
-  if (resubmitted) {
+  if (AwaitsWorkerList(daemon->service->scheduler(), daemon->loop->Now())) {
     daemon->store->EndWatchPause(daemon->codecs.store.worker_prefix);
   }
 }
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -527,6 +527,52 @@
   EXPECT_FALSE(harness.AnswerOf("j1"));
 }
 
+// Guards against jobs that expire after a connection between daemons was reset:
+// their daemons submit them again to the scheduler that has had them all along,
+// which waited for the reports of all workers, and of unreachable ones until
+// their leases had ended.
+TEST(TaskSchedulerTest, JobSubmittedAgainByItsDaemonDoesNotWait) {
+  SchedulerHarness harness(2);
+  ConfirmDaemon(&harness.scheduler, "vm-1/7", harness.now);
+  harness.Submit(Job("j0", 2, 16'000), "vm-1/7");
+  harness.Submit(Job("j1"), "vm-1/7");
+  ASSERT_EQ(harness.RunningOf("j0"), 2U);
+  ASSERT_EQ(harness.RunningOf("j1"), 0U);
+  harness.store_readable = false;
+  StepJob again = Job("j1");
+  again.generation = 1;
+  again.former_fence = kSchedulerFence;
+  again.former_workers = {"w0", "w1"};
+  harness.Submit(std::move(again), "vm-1/7");
+  harness.Run(milliseconds(300));
+  EXPECT_EQ(harness.RunningOf("j1"), 1U);
+}
+
+// Guards against two runs of a task at a time: the daemon submitted the job to
+// another scheduler in between, or another daemon submits it.
+TEST(TaskSchedulerTest, JobThatMayHaveBeenElsewhereWaits) {
+  struct Case {
+    std::uint32_t generation;
+    const char* origin;
+  };
+  for (const Case& submission : {Case{2, "vm-1/7"}, Case{1, "vm-2/8"}}) {
+    SchedulerHarness harness(2);
+    ConfirmDaemon(&harness.scheduler, "vm-1/7", harness.now);
+    ConfirmDaemon(&harness.scheduler, "vm-2/8", harness.now);
+    harness.Submit(Job("j0", 2, 16'000), "vm-1/7");
+    harness.Submit(Job("j1"), "vm-1/7");
+    ASSERT_EQ(harness.RunningOf("j1"), 0U);
+    harness.store_readable = false;
+    StepJob again = Job("j1");
+    again.generation = submission.generation;
+    again.former_fence = kSchedulerFence;
+    again.former_workers = {"w0", "w1"};
+    harness.Submit(std::move(again), submission.origin);
+    harness.Run(milliseconds(300));
+    EXPECT_EQ(harness.RunningOf("j1"), 0U) << submission.origin;
+  }
+}
+
 // Guards against slow takeovers: a worker that left the store long before this
 // daemon began to schedule is no reason to wait until all leases have ended.
 TEST(TaskSchedulerTest, WorkerThatLeftLongAgoDelaysNoResubmittedJob) {
