Limit the rate of report requests for resubmitted jobs

Seen by callers: an overload that fed itself. Resubmitted jobs make the scheduler ask all workers for reports, which delays heartbeats, after which daemons resubmitted more jobs.

Cause: while daemons keep resubmitting jobs, each report is soon too old, and the next request followed the reply at once.

Change: at most 2,000 requests a second to all workers, and at most one per worker in 50 ms. The first request after a pause is still sent at once.

--- a/packages/coordination/include/sequoiapath/coordination/worker_runs.h
+++ b/packages/coordination/include/sequoiapath/coordination/worker_runs.h
@@ -102,6 +102,8 @@
   TimePoint renewal_sent_at;
   // When the renewal that returned the latest report was sent.
   TimePoint report_sent_at;
+  // When a report was last requested at once for resubmitted jobs.
+  TimePoint report_requested_at;
   TimePoint next_renewal;
   std::uint32_t unanswered_renewals = 0;  // Since the last reply.
   WorkerTime clock{0};                    // In the latest report.
--- a/packages/coordination/src/task_scheduler.cc
+++ b/packages/coordination/src/task_scheduler.cc
@@ -25,9 +25,12 @@
 // orders of earlier submissions, whose run numbers are lower.
 constexpr std::uint32_t kRunsPerGeneration = 1000;
 constexpr Duration kSweepInterval = milliseconds(10);
-// Shortest time between two renewals of a worker while resubmitted jobs wait
-// for its report.
-constexpr Duration kReportRequestInterval = milliseconds(50);
+// Shortest time between two renewals that ask a worker for a report at once
+// because resubmitted jobs wait for it. The time is longer with many workers:
+// while daemons keep resubmitting jobs, each report is soon too old again, and
+// requests to all workers would take all of the scheduler's processor time.
+constexpr Duration kShortestReportRequestInterval = milliseconds(50);
+constexpr std::int64_t kReportRequestsPerSecond = 2000;  // To all workers.
 constexpr Duration kCleanupInterval = milliseconds(100);
 // How long schedulers may use a worker after it has left this daemon's list.
 // JobGateway names such workers for the same time.
@@ -399,6 +402,21 @@
          now < scheduler.last_resubmission + scheduler.times.resubmission_wait;
 }
 
+Duration ReportRequestInterval(const TaskScheduler& scheduler) {
+  const Duration one_second = std::chrono::seconds(1);
+  const auto workers = static_cast<std::int64_t>(scheduler.workers.size());
+  return std::max(kShortestReportRequestInterval,
+                  one_second * workers / kReportRequestsPerSecond);
+}
+
+// Returns whether the next renewal should be answered at once, because
+// resubmitted jobs wait for the worker's report.
+bool ShouldRequestReport(const TaskScheduler& scheduler,
+                         const WorkerRuns& worker, TimePoint now) {
+  return ReportIsAwaited(scheduler, worker, now) &&
+         now - worker.report_requested_at >= ReportRequestInterval(scheduler);
+}
+
 // Returns whether the renewal in flight, whose reply may be delayed until a run
 // ends, should be replaced by one that is answered at once.
 bool ShouldReplaceRenewal(const TaskScheduler& scheduler,
@@ -406,8 +424,8 @@
   return worker.claim == ClaimState::kClaimed &&
          worker.unanswered_renewals == 0 &&
          worker.renewal_sent_at < scheduler.last_resubmission &&
-         now - worker.renewal_sent_at >= kReportRequestInterval &&
-         ReportIsAwaited(scheduler, worker, now);
+         now - worker.renewal_sent_at >= kShortestReportRequestInterval &&
+         ShouldRequestReport(scheduler, worker, now);
 }
 
 void SendRenewalOrder(TaskScheduler* scheduler, WorkerRuns* worker,
@@ -431,7 +449,10 @@
       worker->claim == ClaimState::kClaimed && worker->unanswered_renewals == 0;
   if (claimed_and_reachable) order.wait = scheduler->times.renewal_wait;
   if (worker->orphans > 0) order.wait = scheduler->times.orphan_renewal_wait;
-  if (ReportIsAwaited(*scheduler, *worker, now)) order.wait = milliseconds(0);
+  if (ShouldRequestReport(*scheduler, *worker, now)) {
+    order.wait = milliseconds(0);
+    worker->report_requested_at = now;
+  }
   order.worker = worker->description.id;
   order.id = ++scheduler->next_renewal_id;
   worker->renewal_id = order.id;
--- a/tests/correctness/task_scheduler_test.cc
+++ b/tests/correctness/task_scheduler_test.cc
@@ -103,6 +103,7 @@
   bool store_readable = true;  // The list of workers is current.
   milliseconds run_time{200};
   std::map<std::string, StepJobAnswer> answers;
+  std::size_t report_requests = 0;  // Renewals to be answered at once.
   TimePoint now = kStart;
 
  private:
@@ -140,6 +141,7 @@
                     this->now);
   }
   void Perform(const SendRenewal& action) {
+    if (action.order.wait == milliseconds(0)) ++this->report_requests;
     RenewReply reply = OrderUnanswered{true};
     if (!this->unresponsive.contains(action.worker)) {
       reply = fakes::Renew(this->Find(action.worker), action.order);
@@ -573,6 +575,25 @@
   }
 }
 
+// Guards against an overload that feeds itself: while daemons keep resubmitting
+// jobs, each report of a worker is soon too old, and requesting the next one
+// from all workers at once takes all of the scheduler's processor time.
+TEST(TaskSchedulerTest, ReportsForResubmittedJobsAreRequestedAtALimitedRate) {
+  constexpr int kWorkers = 200;
+  constexpr std::size_t kRequestsPerSecond = 2000;
+  SchedulerHarness harness(kWorkers);
+  harness.report_requests = 0;
+  for (int i = 0; i < 100; ++i) {
+    StepJob job = Job(fmt::format("j{}", i));
+    job.generation = 1;
+    job.former_fence = kSchedulerFence - 1;
+    harness.Submit(std::move(job));
+    harness.Run(milliseconds(10));
+  }
+  EXPECT_GE(harness.report_requests, std::size_t{kWorkers});
+  EXPECT_LE(harness.report_requests, kRequestsPerSecond + kWorkers);
+}
+
 // Guards against slow takeovers: a worker that left the store long before this
 // daemon began to schedule is no reason to wait until all leases have ended.
 TEST(TaskSchedulerTest, WorkerThatLeftLongAgoDelaysNoResubmittedJob) {
