Examine an unhealthy worker once per placement pass

Seen by callers: late answers while workers are slow.

Cause: a worker with free capacity that is avoided because of failures stayed a candidate, so each waiting task examined it again.

Change: such a worker counts as full for the rest of the pass. The pass ends when no candidate is left.

--- a/packages/coordination/src/task_placement.cc
+++ b/packages/coordination/src/task_placement.cc
@@ -94,13 +94,16 @@
 }
 
 // Returns whether the worker's recent failures allow a new task on it. The
-// result is kept in `candidate` until a task is placed on the worker.
+// result is kept in `candidate` until a task is placed on the worker. An
+// unhealthy candidate gets no further task in this pass, so that the other
+// waiting tasks do not examine it again.
 bool IsHealthy(const TaskScheduler& scheduler, PlacementCandidate* candidate,
                TimePoint now) {
   if (!candidate->healthy) {
     candidate->healthy =
         IsEligible(scheduler.health, candidate->worker->description.id,
                    /*idempotent=*/true, now);
+    if (!*candidate->healthy) candidate->free_milli_cores = 0;
   }
   return *candidate->healthy;
 }
@@ -197,6 +200,7 @@
     lowest_cost = cost;
   }
   if (best == nullptr) {
+    UpdateLargestFreeMilliCores(view);
     if (suspect) ReserveWorker(view, job.job, step);
     return nullptr;
   }
--- a/tests/performance/scheduler_cost_test.cc
+++ b/tests/performance/scheduler_cost_test.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "sequoiapath/coordination/task_scheduler.h"
+#include "sequoiapath/coordination/worker_health.h"
 
 namespace sequoiapath {
 namespace {
@@ -113,5 +114,24 @@
   EXPECT_LT(pass, kLongestPassMs);
 }
 
+// Guards against a look at all workers for each waiting task while the workers
+// with free capacity are avoided because they have failed tasks.
+TEST(SchedulerCostTest, JobsThatWaitForHealthyWorkers) {
+  TaskScheduler scheduler = MakeScheduler("");
+  const TimePoint later = kStart + std::chrono::seconds(5);
+  for (int i = 0; i < kWorkers; ++i) {
+    RecordTaskEnd(&scheduler.health, WorkerId(i), TaskEnd::kNotStarted, false,
+                  later);
+  }
+  for (int i = 0; i < kJobs; ++i) {
+    SubmitJob(&scheduler, Job(i), kStart, "");
+  }
+  ASSERT_EQ(scheduler.queue.size(), static_cast<std::size_t>(kJobs));
+  const double pass = ShortestPassMs(&scheduler);
+  fmt::print("ms per pass: {:.2f}\n", pass);
+  EXPECT_EQ(scheduler.counts.starts, 0U);
+  EXPECT_LT(pass, kLongestPassMs);
+}
+
 }  // namespace
 }  // namespace sequoiapath
