Keep a peer connection on which replies arrive after a timeout

Cause: one call that timed out made its connection drain, although other replies arrived on it. All later calls used a new connection, which is more work for a peer that is overloaded.

Change: the connection drains if the peer has sent nothing on it since the call began.

--- a/packages/transport/src/peer_client.cc
+++ b/packages/transport/src/peer_client.cc
@@ -37,6 +37,7 @@
   PeerCall call;
   std::size_t body_offset = 0;
   bool sent = false;
+  TimePoint began;
   HttpResponse response;
   TimerId timeout_timer = 0;
   HttpCallback callback;
@@ -77,6 +78,7 @@
   bool has_timed_out_call = false;
   TimerId connect_timer = 0;
   TimePoint last_used;
+  TimePoint last_received;  // When the peer last sent anything.
   std::string output;
   std::unordered_map<std::int32_t, PeerStream> streams;
 };
@@ -197,6 +199,7 @@
     FailConnection(connection, HttpErrorKind::kClosed, error);
     return;
   }
+  connection->last_received = connection->client->loop->Now();
   const ssize_t used = nghttp2_session_mem_recv(
       connection->session,
       reinterpret_cast<const std::uint8_t*>(socket->input->bytes),
@@ -463,13 +466,20 @@
                                 fields.size(), &provider, nullptr);
 }
 
-// Fails a call that has timed out and makes its connection drain.
+// Fails a call that has timed out. Makes its connection drain if the peer has
+// sent nothing on it since the call began: the network may have stopped to
+// deliver. Otherwise only the call is slow, and a new connection would add work
+// to a peer that is overloaded.
 void OnTimeout(PeerConnection* connection, std::int32_t stream_id) {
-  connection->draining = true;
+  const auto stream = connection->streams.find(stream_id);
+  if (stream == connection->streams.end()) return;
+  if (connection->last_received < stream->second.began) {
+    connection->draining = true;
+  }
   connection->has_timed_out_call = true;
   FailStream(connection, stream_id, HttpErrorKind::kTimeout,
              "no complete response within the timeout");
-  if (connection->streams.empty()) {
+  if (connection->draining && connection->streams.empty()) {
     CloseConnection(connection);
     return;
   }
@@ -520,6 +530,7 @@
     return;
   }
   internal::PeerStream& stream = connection->streams[stream_id];
+  stream.began = client->loop->Now();
   stream.call = std::move(call);
   stream.callback = std::move(callback);
   stream.timeout_timer = client->loop->Schedule(
--- a/tests/error/peer_client_test.cc
+++ b/tests/error/peer_client_test.cc
@@ -66,6 +66,33 @@
   EXPECT_EQ(client->Connections(listener.endpoint), 1u);
 }
 
+// Guards against new connections to a peer that is overloaded: a call times out
+// while other replies arrive on its connection.
+TEST(PeerClientErrorTest, ConnectionWithRepliesOutlastsATimeout) {
+  EventLoop loop;
+  const auto server = StartServer(
+      &loop, [](const HttpRequest& request, const HttpResponder& responder) {
+        if (request.path != "/peer/x") return;
+        responder.Respond({200, {}, "x"});
+      });
+  const auto client = PeerClientBuilder(&loop).Build();
+  client->Call(server->endpoint(), {"/peer/long", {}, ""}, seconds(5),
+               [](const HttpResult&) {});
+  std::optional<HttpResult> slow;
+  client->Call(server->endpoint(), {"/peer/slow", {}, ""}, milliseconds(200),
+               [&](HttpResult result) { slow = std::move(result); });
+  RunFor(&loop, milliseconds(50));
+  const auto reply =
+      CallAndWait(&loop, client.get(), server->endpoint(), seconds(2));
+  EXPECT_TRUE(std::holds_alternative<HttpResponse>(*reply));
+  ASSERT_TRUE(RunUntil(&loop, [&] { return slow.has_value(); }));
+  EXPECT_EQ(ErrorOf(slow).kind, HttpErrorKind::kTimeout);
+  const auto second =
+      CallAndWait(&loop, client.get(), server->endpoint(), seconds(2));
+  EXPECT_TRUE(std::holds_alternative<HttpResponse>(*second));
+  EXPECT_EQ(client->Connections(server->endpoint()), 1u);
+}
+
 // Guards against reporting a call as possibly sent that timed out while it was
 // queued. It was never written, and its caller can retry it only if the error
 // has may_have_been_sent == false (guarantee G4 in docs/design.md).
