Resubmit all jobs only after a silent connection, not a late heartbeat

Seen by callers: the scheduler answered one heartbeat late under load, and the daemon submitted all of its jobs again, which added to the load.

Cause: any failed heartbeat made the daemon suspect that replies were lost.

Change: PeerClient tells whether the connection of a timed out call was silent; only then are all jobs submitted again. The calls of a closed connection fail by themselves. A scheduler that stops the jobs of a lost daemon now answers them, so that a daemon that still hears it submits them again.

Evidence: EntryDaemonErrorTest.LateHeartbeatDoesNotResubmitJobs (two submissions before) and JobsOfALostDaemonAreReturned (no answer before) failed on; SilentConnectionResubmitsJobs passes on both.

--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -96,8 +96,9 @@
 struct PeerState {
   bool heartbeat_in_flight = false;
   bool reachable = false;  // According to the latest election run.
-  bool suspect = false;    // The latest heartbeat failed.
-  bool closed = false;     // The connection of the latest heartbeat was closed.
+  // The connection of a heartbeat was silent, and none has succeeded since.
+  bool suspect = false;
+  bool closed = false;  // The connection of the latest heartbeat was closed.
   std::uint64_t incarnation = 0;
 };
 
@@ -347,8 +348,10 @@
   const auto* response = std::get_if<HttpResponse>(&result);
   if (response == nullptr || response->status != kStatusOk) {
     ++daemon->counts.heartbeats_failed;
-    peer_state.suspect = true;
     const auto* error = std::get_if<HttpError>(&result);
+    if (error != nullptr && error->connection_was_silent) {
+      peer_state.suspect = true;
+    }
     const bool closed =
         error != nullptr && error->kind == HttpErrorKind::kClosed;
     const bool closed_again = std::exchange(peer_state.closed, closed);
--- a/packages/state/src/scheduler_service.cc
+++ b/packages/state/src/scheduler_service.cc
@@ -243,6 +243,12 @@
   return removed;
 }
 
+void AnswerMoved(const std::vector<AnswerWaiter>& waiters, const char* reason) {
+  for (const AnswerWaiter& waiter : waiters) {
+    waiter.callback({StepJobOutcome::kMoved, reason, milliseconds(0)});
+  }
+}
+
 // Stops the jobs that the daemon `origin` submitted and answers them with
 // kMoved.
 void ReturnJobs(SchedulerServiceState* service, std::string_view origin,
@@ -251,9 +257,7 @@
   if (waiters.empty()) return;
   Log(LogLevel::kWarning, "jobs_of_leaving_daemon_stopped",
       {{"vm", origin}, {"jobs", waiters.size()}, {"reason", reason}});
-  for (const AnswerWaiter& waiter : waiters) {
-    waiter.callback({StepJobOutcome::kMoved, reason, milliseconds(0)});
-  }
+  AnswerMoved(waiters, reason);
 }
 
 }  // namespace
@@ -369,6 +373,7 @@
   if (waiters.empty()) return;
   Log(LogLevel::kWarning, "jobs_of_lost_daemon_stopped",
       {{"vm", origin}, {"jobs", waiters.size()}});
+  internal::AnswerMoved(waiters, "daemon_lost");
 }
 
 void SchedulerService::ReturnJobsOf(std::string_view origin) {
--- a/packages/transport/include/sequoiapath/transport/http_client.h
+++ b/packages/transport/include/sequoiapath/transport/http_client.h
@@ -42,6 +42,10 @@
   // False only if it is certain that no byte of the request was written.
   bool may_have_been_sent = true;
   std::string message;
+  // Of a timeout in PeerClient: the peer sent nothing on the call's connection
+  // while the call was in progress, so that replies to other calls on it may be
+  // lost.
+  bool connection_was_silent = false;
 };
 
 using HttpResult = std::variant<HttpResponse, HttpError>;
--- a/packages/transport/src/peer_client.cc
+++ b/packages/transport/src/peer_client.cc
@@ -473,12 +473,12 @@
 void OnTimeout(PeerConnection* connection, std::int32_t stream_id) {
   const auto stream = connection->streams.find(stream_id);
   if (stream == connection->streams.end()) return;
-  if (connection->last_received < stream->second.began) {
-    connection->draining = true;
-  }
+  const bool silent = connection->last_received < stream->second.began;
+  if (silent) connection->draining = true;
   connection->has_timed_out_call = true;
-  FailStream(connection, stream_id, HttpErrorKind::kTimeout,
-             "no complete response within the timeout");
+  FinishStream(connection, stream_id,
+               HttpError{HttpErrorKind::kTimeout, stream->second.sent,
+                         "no complete response within the timeout", silent});
   if (connection->draining && connection->streams.empty()) {
     CloseConnection(connection);
     return;
--- a/tests/error/entry_daemon_test.cc
+++ b/tests/error/entry_daemon_test.cc
@@ -493,6 +493,60 @@
   this->ReplacePeerAsScheduler();
 }
 
+// Guards against an overload that feeds itself: the scheduler answers a
+// heartbeat late while its other replies arrive, and the daemon submitted all
+// of its jobs again.
+TEST_F(EntryDaemonErrorTest, LateHeartbeatDoesNotResubmitJobs) {
+  this->MakePeerTheScheduler();
+  this->PostJob(seconds(4));
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return !this->submissions.empty(); }, seconds(2)));
+  this->replies_to_reports = false;
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return !this->unanswered_reports.empty(); },
+      seconds(1)));
+  const int catalog_requests = this->catalog_requests;
+  ++this->peer_report.config_version;
+  // The daemon requests the newer configuration on the same connection.
+  this->SendReportsFor(milliseconds(500));
+  ASSERT_GT(this->catalog_requests, catalog_requests);
+  this->replies_to_reports = true;
+  this->SendReportsFor(milliseconds(1000));
+  EXPECT_EQ(this->submissions.size(), 1U);
+}
+
+// Guards against jobs without an answer: the connection to the scheduler was
+// silent for a while, so that its replies may be lost.
+TEST_F(EntryDaemonErrorTest, SilentConnectionResubmitsJobs) {
+  this->MakePeerTheScheduler();
+  this->PostJob(seconds(4));
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return !this->submissions.empty(); }, seconds(2)));
+  this->replies_to_reports = false;
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return !this->unanswered_reports.empty(); },
+      seconds(1)));
+  this->SendReportsFor(milliseconds(450));
+  this->replies_to_reports = true;
+  // The next heartbeat may have been sent before, and then times out as well.
+  this->SendReportsFor(milliseconds(1000));
+  EXPECT_EQ(this->submissions.size(), 2U);
+}
+
+// Guards against a job that gets no answer after the scheduler has lost its
+// daemon, while the daemon still hears the scheduler.
+TEST_F(EntryDaemonErrorTest, JobsOfALostDaemonAreReturned) {
+  ASSERT_TRUE(this->WaitUntilDaemonSchedules());
+  this->Submit();
+  RunFor(&this->loop, milliseconds(200));
+  ASSERT_FALSE(this->answer);
+  ++this->peer_report.incarnation;
+  this->SendReport();
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [this] { return this->answer.has_value(); }, seconds(1)));
+  EXPECT_EQ(this->answer->outcome, StepJobOutcome::kMoved);
+}
+
 // Guards against two runs of a task at a time: the cancel of a job whose caller
 // has gone is lost. The caller sends the job through another daemon, whose
 // scheduler may start the tasks again.
--- a/tests/fuzz/model_daemon.cc
+++ b/tests/fuzz/model_daemon.cc
@@ -451,7 +451,7 @@
 }
 
 void ModelDaemon::CancelJobsOf(const std::string& origin) {
-  this->StopJobsOf(origin);
+  this->ReturnJobsOf(origin, "daemon_lost");
 }
 
 void ModelDaemon::ReturnJobsOf(const std::string& origin, const char* reason) {
@@ -576,7 +576,7 @@
                                    std::uint64_t incarnation, CallError error) {
   ModelPeerState& peer_state = this->peer_states[vm];
   peer_state.heartbeat_in_flight = false;
-  peer_state.suspect = true;
+  if (error == CallError::kTimeout) peer_state.suspect = true;
   const bool closed = error == CallError::kClosed;
   const bool closed_again = std::exchange(peer_state.closed, closed);
   if (closed && !closed_again) {
