Submit a rejected job again only on a newer heartbeat

Seen by callers: no recovery after the last cut.

Cause: a scheduler that reads late rejects a submission because of the heartbeat on which it is based. The daemon sent it again after 20 ms on the same heartbeat.

Change: the job waits for a newer heartbeat of that scheduler, or for another scheduler.

Evidence: JobGatewayErrorTest.RejectedSubmissionWaitsForTheNextHeartbeat needs the new function of SchedulerAccess, so it does not build before.

The model of the request path plays the same.

--- a/packages/state/include/sequoiapath/state/job_gateway.h
+++ b/packages/state/include/sequoiapath/state/job_gateway.h
@@ -52,6 +52,10 @@
   std::function<std::string()> leader;
   // Returns the highest known fencing token of any scheduler.
   std::function<FencingToken()> fence;
+  // Returns when the latest heartbeat that this daemon has of `leader` was
+  // sent, on the clock of `leader`; zero if it is not known. A submission is
+  // based on that heartbeat.
+  std::function<DaemonTime(const std::string& leader)> heartbeat;
   // Submits a job to `leader`. `callback` is called once, possibly before the
   // function returns.
   std::function<void(const std::string& leader, StepJob job,
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -601,6 +601,16 @@
   }
 }
 
+// Returns when the latest heartbeat of the scheduler was sent, on its clock;
+// zero if there is none. A heartbeat of this daemon itself is always current.
+DaemonTime HeartbeatOf(const EntryDaemonState& daemon,
+                       const std::string& leader) {
+  if (leader == daemon.election.self.vm) return ReportTime(daemon);
+  const auto peer = daemon.election.peers.find(leader);
+  if (peer == daemon.election.peers.end()) return DaemonTime{};
+  return peer->second.report.sent_at;
+}
+
 // Names the claim and the heartbeat of the scheduler on which the submission is
 // based, so that the scheduler can reject it if it arrives late.
 void SetSubmissionBasis(const EntryDaemonState& daemon,
@@ -774,6 +784,10 @@
   return {
       .leader = [daemon] { return daemon->election.leader; },
       .fence = [daemon] { return daemon->election.self.highest_fence; },
+      .heartbeat =
+          [daemon](const std::string& leader) {
+            return HeartbeatOf(*daemon, leader);
+          },
       .submit =
           [daemon](const std::string& leader, StepJob job,
                    const SubmissionCallback& callback) {
--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -65,6 +65,9 @@
   std::string former_scheduler;
   bool was_submitted_before = false;
   std::uint32_t submissions = 0;
+  DaemonTime heartbeat{};  // On which the latest submission was based.
+  // The scheduler that has not accepted the latest submission; empty otherwise.
+  std::string rejected_by{};
 };
 
 // A request that waits for the first configuration.
@@ -188,6 +191,7 @@
       result.answer.outcome == StepJobOutcome::kNotAccepted) {
     job.was_submitted = job.was_submitted_before;
     job.last_scheduler = job.former_scheduler;
+    job.rejected_by = job.submitted_to;
   } else if (result.may_have_been_sent) {
     job.was_submitted = true;
   }
@@ -232,6 +236,8 @@
   if (job->was_submitted) ++job->job.generation;
   job->was_submitted_before = std::exchange(job->was_submitted, true);
   job->submitted_to = leader;
+  job->rejected_by.clear();
+  job->heartbeat = gateway->access.heartbeat(leader);
   const std::uint64_t former_submission =
       std::exchange(job->submission, gateway->next_submission++);
   if (!job->last_scheduler.empty() && job->last_scheduler != leader) {
@@ -312,6 +318,16 @@
   return !job.was_submitted && now + ShortestRunTime(job.job) > job.expires;
 }
 
+// Returns whether the scheduler would reject the job again: it rejects a
+// submission because of the heartbeat on which that is based, and no later one
+// has arrived.
+bool WouldBeRejected(const JobGatewayState& gateway, const GatewayJob& job,
+                     const std::string& leader) {
+  if (job.rejected_by != leader) return false;
+  const DaemonTime latest = gateway.access.heartbeat(leader);
+  return latest != DaemonTime{} && latest <= job.heartbeat;
+}
+
 // Submits the jobs that wait for a scheduler or were submitted to a former one.
 // Answers those that can no longer meet their deadline.
 void SubmitWaiting(JobGatewayState* gateway) {
@@ -327,7 +343,7 @@
     GatewayJob& job = found->second;
     if (now >= job.expires || CannotEndInTime(job, now)) {
       ExpireJob(gateway, id, &job);
-    } else if (!leader.empty()) {
+    } else if (!leader.empty() && !WouldBeRejected(*gateway, job, leader)) {
       SubmitTo(gateway, &job, leader);
     }
   }
--- a/tests/error/job_gateway_test.cc
+++ b/tests/error/job_gateway_test.cc
@@ -37,6 +37,11 @@
     SchedulerAccess access{
         .leader = [this] { return this->leader; },
         .fence = [this] { return this->fence; },
+        .heartbeat =
+            [this](const std::string& /*of*/) {
+              if (this->heartbeat) return *this->heartbeat;
+              return std::chrono::floor<milliseconds>(this->loop.Now());
+            },
         .submit =
             [this](const std::string& to, StepJob job,
                    const SubmissionCallback& callback) {
@@ -136,6 +141,8 @@
   EventLoop loop;
   std::string leader = "vm-1";
   FencingToken fence = 5;
+  // When the scheduler's latest heartbeat was sent; always now if empty.
+  std::optional<DaemonTime> heartbeat;
   std::vector<Submission> submissions;
   std::vector<std::string> cancelled;  // Schedulers.
   std::vector<std::uint64_t> cancelled_submissions;
@@ -352,6 +359,36 @@
   EXPECT_EQ(this->submissions[1].job.generation, 0U);
 }
 
+// Guards against load on an overloaded scheduler: it reads submissions late and
+// rejects them as based on an old heartbeat, and they were sent to it again
+// every 20 ms although only a later heartbeat can make it accept them.
+TEST_F(JobGatewayErrorTest, RejectedSubmissionWaitsForTheNextHeartbeat) {
+  this->SetRoutes();
+  this->heartbeat = DaemonTime(seconds(7));
+  this->Post(seconds(3));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  this->submissions[0].callback(Answered(StepJobOutcome::kNotAccepted));
+  RunFor(&this->loop, milliseconds(200));
+  EXPECT_EQ(this->submissions.size(), 1U);
+  *this->heartbeat += milliseconds(200);
+  ASSERT_TRUE(this->WaitForSubmissions(2));
+  EXPECT_EQ(this->submissions[1].job.generation, 0U);
+}
+
+// Guards against a rejected job that waits although another scheduler, which
+// has sent its heartbeat earlier, can accept it.
+TEST_F(JobGatewayErrorTest, RejectedSubmissionGoesToAnotherSchedulerAtOnce) {
+  this->SetRoutes();
+  this->heartbeat = DaemonTime(seconds(7));
+  this->Post(seconds(3));
+  ASSERT_TRUE(this->WaitForSubmissions(1));
+  this->submissions[0].callback(Answered(StepJobOutcome::kNotAccepted));
+  this->leader = "vm-2";
+  *this->heartbeat -= milliseconds(200);
+  ASSERT_TRUE(this->WaitForSubmissions(2));
+  EXPECT_EQ(this->submissions[1].leader, "vm-2");
+}
+
 // Guards against two runs of a task at a time: an earlier scheduler may have
 // accepted the job, although the latest one has not.
 TEST_F(JobGatewayErrorTest, NotAcceptedSubmissionKeepsTheEarlierScheduler) {
--- a/tests/fuzz/model_daemon.cc
+++ b/tests/fuzz/model_daemon.cc
@@ -182,6 +182,7 @@
   if (answer != nullptr && answer->outcome == StepJobOutcome::kNotAccepted) {
     job.was_submitted = job.was_submitted_before;
     job.last_scheduler = job.former_scheduler;
+    job.rejected_by = job.submitted_to;
   } else if (sent) {
     job.was_submitted = true;
   }
@@ -203,6 +204,8 @@
   if (job->was_submitted) ++job->job.generation;
   job->was_submitted_before = std::exchange(job->was_submitted, true);
   job->submitted_to = leader;
+  job->rejected_by.clear();
+  job->heartbeat = this->HeartbeatOf(leader);
   const std::uint64_t former_submission =
       std::exchange(job->submission, this->next_submission++);
   if (!job->last_scheduler.empty() && job->last_scheduler != leader) {
@@ -244,6 +247,21 @@
                           internal::kRefusalRetryAfter});
 }
 
+DaemonTime ModelDaemon::HeartbeatOf(const std::string& leader) const {
+  if (leader == this->election.self.vm)
+    return internal::ReportTime(this->Now());
+  const auto peer = this->election.peers.find(leader);
+  if (peer == this->election.peers.end()) return DaemonTime{};
+  return peer->second.report.sent_at;
+}
+
+bool ModelDaemon::WouldBeRejected(const ModelGatewayJob& job,
+                                  const std::string& leader) const {
+  if (job.rejected_by != leader) return false;
+  const DaemonTime latest = this->HeartbeatOf(leader);
+  return latest != DaemonTime{} && latest <= job.heartbeat;
+}
+
 void ModelDaemon::SubmitWaiting() {
   const TimePoint now = this->Now();
   const std::string leader = this->election.leader;
@@ -259,7 +277,7 @@
         !job.was_submitted && now + ShortestRunTime(job.job) > job.expires;
     if (now >= job.expires || cannot_end) {
       this->ExpireJob(id);
-    } else if (!leader.empty()) {
+    } else if (!leader.empty() && !this->WouldBeRejected(job, leader)) {
       this->SubmitTo(&job, leader);
     }
   }
--- a/tests/fuzz/model_daemon.h
+++ b/tests/fuzz/model_daemon.h
@@ -49,6 +49,9 @@
   // has not accepted it.
   std::string former_scheduler;
   bool was_submitted_before = false;
+  DaemonTime heartbeat;  // On which the latest submission was based.
+  // The scheduler that has not accepted the latest submission; empty otherwise.
+  std::string rejected_by;
 };
 
 struct ModelPeerState {
@@ -118,6 +121,9 @@
   void AnswerCaller(const std::string& id, const StepJobAnswer& answer);
   void CancelSubmission(ModelGatewayJob* job);
   void ExpireJob(const std::string& id);
+  DaemonTime HeartbeatOf(const std::string& leader) const;
+  bool WouldBeRejected(const ModelGatewayJob& job,
+                       const std::string& leader) const;
   void SubmitWaiting();
   void ScheduleRetry();
   void ResubmitAll();
