--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -125,6 +125,7 @@
   bool stopping = false;
   bool ready_logged = false;
   TimePoint stop_began_at;
+  TimePoint home_workers_found_at;
 };
 
 namespace {
@@ -457,11 +458,19 @@
   return home;
 }
 
+// Finds the home workers at most once in each `kElectionInterval`, because this
+// examines all workers and members and an election runs with each heartbeat.
 void UpdateExtent(EntryDaemonState* daemon) {
   const bool partial = daemon->election.role == SchedulerRole::kPartial;
+  const TaskScheduler& scheduler = daemon->service->scheduler();
+  const TimePoint now = daemon->loop->Now();
+  if (partial && scheduler.partial &&
+      now - daemon->home_workers_found_at < kElectionInterval) {
+    return;
+  }
   std::set<std::string> home;
   if (partial) home = HomeWorkers(*daemon);
-  const TaskScheduler& scheduler = daemon->service->scheduler();
+  daemon->home_workers_found_at = now;
   if (scheduler.partial == partial && scheduler.home_workers == home) return;
   Log(LogLevel::kInfo, "scheduling_extent",
       {{"partial", partial}, {"home_workers", home.size()}});
--- a/tests/fuzz/model_daemon.cc
+++ b/tests/fuzz/model_daemon.cc
@@ -632,8 +632,13 @@
 
 void ModelDaemon::UpdateExtent() {
   const bool partial = this->election.role == SchedulerRole::kPartial;
+  if (partial && this->scheduler.partial &&
+      this->Now() - this->home_workers_found_at < internal::kElectionInterval) {
+    return;
+  }
   std::set<std::string> home;
   if (partial) home = this->HomeWorkers();
+  this->home_workers_found_at = this->Now();
   if (this->scheduler.partial == partial &&
       this->scheduler.home_workers == home) {
     return;
--- a/tests/fuzz/model_daemon.h
+++ b/tests/fuzz/model_daemon.h
@@ -179,6 +179,7 @@
   std::map<std::string, Waiter> waiters;  // By job.
   std::map<std::string, ModelPeerState> peer_states;
   std::uint64_t next_submission = 1;
+  TimePoint home_workers_found_at;
   bool retry_scheduled = false;
   bool run_scheduled = false;
 };
