Model the end of a caller's connection opened after a cut

The model of the request path tells the daemon nothing when a caller leaves whose connection did not exist before a cut, even if the cut is over and the daemon has received the request on it. A daemon would never learn that such a caller has gone, which TCP does not do: the end follows the request.

The end is now lost only while the request has not been delivered.

--- a/tests/fuzz/model_network.cc
+++ b/tests/fuzz/model_network.cc
@@ -252,6 +252,11 @@
   });
 }
 
+bool ModelNetwork::HoldsMessages(const ConnectionPtr& connection,
+                                 Direction direction) {
+  return !connection->in_flight[Index(direction)].empty();
+}
+
 void ModelNetwork::Discard(const ConnectionPtr& connection,
                            Direction direction) {
   connection->in_flight[Index(direction)].clear();
--- a/tests/fuzz/model_network.h
+++ b/tests/fuzz/model_network.h
@@ -134,6 +134,9 @@
   // Delivers a message, which runs on the receiving host's process.
   void Send(const ConnectionPtr& connection, Direction direction,
             std::function<void()> message, bool by_kernel = false);
+  // Returns whether anything is in flight in the direction.
+  static bool HoldsMessages(const ConnectionPtr& connection,
+                            Direction direction);
   // Discards what is in flight in the direction.
   static void Discard(const ConnectionPtr& connection, Direction direction);
 
--- a/tests/fuzz/request_path_test.cc
+++ b/tests/fuzz/request_path_test.cc
@@ -70,7 +70,8 @@
   StepJobOutcome outcome = StepJobOutcome::kMoved;
   ConnectionPtr connection;
   // The connection to the daemon existed when the request was sent. Otherwise a
-  // caller that leaves during a cut leaves nothing that arrives after it.
+  // caller that leaves before the request has been delivered leaves nothing
+  // that arrives after the cut.
   bool established = true;
   int daemon = 0;
 };
@@ -517,7 +518,8 @@
 
   // The daemon's kernel receives the end of the connection.
   void NotifyAbort(const CallerJob& job, int attempt) {
-    if (!job.established) {
+    if (!job.established &&
+        ModelNetwork::HoldsMessages(job.connection, Direction::kToServer)) {
       ModelNetwork::Discard(job.connection, Direction::kToServer);
       return;
     }
