Keep the iteration without a wait after timers

The change of the event loop had dropped it, and PeerClientTest.WriteFromATimerCompletesWithoutOtherEvents failed: a callback of a completed write may start another write. h2o's list of pending sockets is now processed right after the timers. Both tests pass.

--- a/packages/transport/include/sequoiapath/transport/event_loop.h
+++ b/packages/transport/include/sequoiapath/transport/event_loop.h
@@ -67,6 +67,7 @@
   std::map<std::pair<TimePoint, TimerId>, std::function<void()>> timers;
   std::unordered_map<TimerId, TimePoint> timer_due;
   TimerId next_timer = 1;
+  bool timers_ran = false;  // Whether the previous iteration ran a timer.
   volatile bool stop_requested = false;
 };
 
--- a/packages/transport/src/event_loop.cc
+++ b/packages/transport/src/event_loop.cc
@@ -63,15 +63,15 @@
 }
 
 void EventLoop::RunOnce(Duration max_wait) {
-  // Reports the writes that timer callbacks have completed. h2o would free the
-  // sockets that were closed since, and only then report completed writes, also
-  // those of freed sockets. Its own timers are followed by the same call.
-  h2o_timeout__do_post_callback(this->loop);
   Duration wait = max_wait;
   if (!this->timers.empty()) {
     const Duration until_due = this->timers.begin()->first.first - this->Now();
     wait = std::clamp(until_due, Duration::zero(), max_wait);
   }
+  // A callback of a completed write may have started another write, whose
+  // completion h2o reports only after it has waited for events. After timers,
+  // the wait is therefore zero.
+  if (std::exchange(this->timers_ran, false)) wait = Duration::zero();
   // Rounds up, because rounding down would busy-wait during the last
   // millisecond before the timer is due.
   const auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(wait);
@@ -84,8 +84,13 @@
   while (!this->timers.empty() && this->timers.begin()->first.first <= now) {
     auto node = this->timers.extract(this->timers.begin());
     this->timer_due.erase(node.key().second);
+    this->timers_ran = true;
     node.mapped()();
   }
+  // Reports the writes that the callbacks have completed, as h2o 2.2 does after
+  // its own timers. Its next iteration would free the sockets that were closed
+  // since, and then report completed writes, also those of freed sockets.
+  if (this->timers_ran) h2o_timeout__do_post_callback(this->loop);
 }
 
 void EventLoop::RequestStop() { this->stop_requested = true; }
--- a/tests/error/event_loop_test.cc
+++ b/tests/error/event_loop_test.cc
@@ -57,6 +57,7 @@
   EventLoop loop;
   OpenedSockets opened{.loop = &loop, .connections = {}, .writes = 0};
   std::vector<Connection> idle;
+  idle.reserve(kSockets);
   for (int i = 0; i < kSockets; ++i) idle.push_back(Connect(&loop));
   // Memory beside the sockets that is not freed with them.
   const auto before = std::make_unique<std::array<char, 64>>();
