Let an acknowledged start replace an unacknowledged one in crash records

If two schedulers recorded the same crash, one with and one without an acknowledgement, the first record that a daemon received counted, so that daemons could disagree about giving up a task. And a run that the worker's report listed before the reply to its start order counted as not acknowledged if that reply was lost.

AcknowledgedStartReplacesAnUnacknowledgedOne guards the first; the second was found by reading and has no test.

--- a/packages/coordination/include/sequoiapath/coordination/crash_history.h
+++ b/packages/coordination/include/sequoiapath/coordination/crash_history.h
@@ -69,7 +69,8 @@
 };
 
 // Adds a crash. `learned_from` names the daemon process that sent it. Returns
-// false if the crash is already known or older than `max_age`.
+// false if the crash is already known or older than `max_age`. A record whose
+// start was acknowledged replaces one whose start was not.
 bool AddCrash(CrashHistory* history, const TaskCrash& crash,
               std::string_view learned_from, TimePoint now);
 
--- a/packages/coordination/src/crash_history.cc
+++ b/packages/coordination/src/crash_history.cc
@@ -44,11 +44,14 @@
 bool AddCrash(CrashHistory* history, const TaskCrash& crash,
               std::string_view learned_from, TimePoint now) {
   if (crash.age > history->max_age) return false;
-  const bool added = history->by_task[crash.task]
-                         .emplace(internal::CrashedProcess(crash),
-                                  CrashedRun{crash.alone, crash.confirmed})
-                         .second;
-  if (!added) return false;
+  const CrashedRun run{crash.alone, crash.confirmed};
+  const auto [known, added] = history->by_task[crash.task].emplace(
+      internal::CrashedProcess(crash), run);
+  if (!added) {
+    // One scheduler may have seen the start acknowledged, and another one not.
+    if (known->second.confirmed || !run.confirmed) return false;
+    known->second = run;
+  }
   history->records.push_back({++history->last_sequence, now - crash.age,
                               std::string(learned_from), crash});
   if (history->records.size() > history->max_records) {
--- a/packages/coordination/src/worker_crashes.cc
+++ b/packages/coordination/src/worker_crashes.cc
@@ -40,7 +40,7 @@
 
 // Returns whether the worker has acknowledged the start or reported the run.
 bool IsConfirmed(const WorkerRun& run) {
-  return run.state == RunState::kRunning;
+  return run.confirmed_running_at != TimePoint{};
 }
 
 void ChargeCrash(TaskScheduler* scheduler, const WorkerRuns& worker,
--- a/packages/coordination/src/worker_runs.cc
+++ b/packages/coordination/src/worker_runs.cc
@@ -69,10 +69,9 @@
       continue;
     }
     WorkerRun& run = found->second;
-    if (row.run == run.run && run.state == RunState::kUnknown) {
-      run.state = RunState::kRunning;
-      run.confirmed_running_at = now;
-    }
+    if (row.run != run.run || run.state == RunState::kRunning) continue;
+    run.confirmed_running_at = now;
+    if (run.state == RunState::kUnknown) run.state = RunState::kRunning;
   }
 }
 
--- a/tests/correctness/crash_history_test.cc
+++ b/tests/correctness/crash_history_test.cc
@@ -90,6 +90,22 @@
   EXPECT_NE(FindTaskToGiveUp(history, "j"), nullptr);
 }
 
+// Guards against daemons that disagree about giving up a task, depending on the
+// order in which two schedulers reported the same crash.
+TEST(CrashHistoryTest, AcknowledgedStartReplacesAnUnacknowledgedOne) {
+  CrashHistory history;
+  TaskCrash crash = Crash("j", 0, "w1");
+  crash.confirmed = false;
+  EXPECT_TRUE(AddCrash(&history, crash, "", kStart));
+  crash.confirmed = true;
+  crash.alone = true;
+  EXPECT_TRUE(AddCrash(&history, crash, "a/1", kStart));
+  EXPECT_FALSE(AddCrash(&history, crash, "a/1", kStart));
+  EXPECT_EQ(CrashCount(history, {"j", 0, 0}), 1u);
+  AddCrash(&history, Crash("j", 0, "w2"), "", kStart);
+  EXPECT_NE(FindTaskToGiveUp(history, "j"), nullptr);
+}
+
 // Guards against a cut-off worker that counts as crashed after it has answered.
 TEST(CrashHistoryTest, WithdrawnCrashDoesNotCount) {
   CrashHistory history;
