Cancel a job at its last scheduler while it waits to be submitted again

Found by a review: a scheduler accepts a job, a further submission of it is rejected as stale, and the caller leaves or the job expires before the next heartbeat. No cancel was sent, because the job was submitted to nobody at that moment, so the scheduler went on starting its tasks. The cancel now goes to the last scheduler.

--- a/packages/state/src/job_gateway.cc
+++ b/packages/state/src/job_gateway.cc
@@ -289,8 +289,12 @@
 // before `cancel` returns.
 void CancelSubmission(JobGatewayState* gateway, GatewayJob* job) {
   const std::uint64_t submission = std::exchange(job->submission, 0);
-  if (job->submitted_to.empty()) return;
-  gateway->access.cancel(job->submitted_to,
+  // While a job waits to be submitted again, its last scheduler may still run
+  // tasks of it.
+  const std::string& scheduler =
+      job->submitted_to.empty() ? job->last_scheduler : job->submitted_to;
+  if (scheduler.empty()) return;
+  gateway->access.cancel(scheduler,
                          {.job = job->job.id,
                           .submission = submission,
                           .expired = gateway->loop->Now() >= job->expires});
