Hold late requests for as long as the disruption lasted

Found by a review: requests counted as possibly late for 5 s after a disruption. The intervals at which TCP repeats a segment double, so after a cut of 6 to 7 s a request of its first moment may arrive up to 6 s after its end, while its caller was served elsewhere long ago, and run a second time. The time is now 5 s or the length of the disruption, up to 60 s. The model of the request path does the same.

By reading; the model's cuts are shorter.

--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -37,10 +37,14 @@
 constexpr Duration kLongestCertainAge = milliseconds(500);
 // After a longer time without an AbortCheckTick this daemon has stood still.
 constexpr Duration kLongestPause = milliseconds(500);
-// A request may be late until this long after a disruption. The intervals at
-// which TCP repeats a segment double while there is no way, so one that was
-// sent during a cut may arrive long after the end of the cut.
+// A request may be late until this long after a disruption at least, and for as
+// long as the disruption was. The intervals at which TCP repeats a segment
+// double while there is no way, so one that was sent at the start of a cut may
+// arrive after the end of the cut plus the length of the cut.
 constexpr Duration kLateRequestTime = milliseconds(5000);
+constexpr Duration kLongestLateRequestTime = std::chrono::seconds(60);
+// Time until a daemon counts as unreachable, with a margin.
+constexpr Duration kDisruptionDetectionTime = milliseconds(1000);
 // Two readings of the time of suspensions differ by less without a suspension.
 constexpr Duration kSuspensionTolerance = milliseconds(10);
 // Delay before a daemon that became a partial scheduler claims the workers of
@@ -139,9 +143,11 @@
   TimePoint home_workers_found_at;
   // For requests that arrive late.
   TimePoint callers_checked_at;  // Latest AbortCheckTick.
-  TimePoint disrupted_at;        // Latest time at which a way was interrupted.
-  TimePoint suspended_at;        // When a suspension was noticed.
-  Duration suspended_time{0};    // According to EventLoop::SuspendedTime.
+  TimePoint disruption_began_at;
+  // Requests of older connections may be late until then.
+  TimePoint late_requests_until;
+  TimePoint suspended_at;      // When a suspension was noticed.
+  Duration suspended_time{0};  // According to EventLoop::SuspendedTime.
 };
 
 namespace {
@@ -471,10 +477,15 @@
     daemon->suspended_at = now;
   }
   daemon->suspended_time = suspended_time;
-  if (now > daemon->callers_checked_at + kLongestPause ||
-      AnyDaemonUnreachable(*daemon, now)) {
-    daemon->disrupted_at = now;
+  const bool paused = now > daemon->callers_checked_at + kLongestPause;
+  if (!paused && !AnyDaemonUnreachable(*daemon, now)) return;
+  if (now > daemon->late_requests_until) {
+    daemon->disruption_began_at =
+        (paused ? daemon->callers_checked_at : now) - kDisruptionDetectionTime;
   }
+  daemon->late_requests_until =
+      now + std::clamp(now - daemon->disruption_began_at, kLateRequestTime,
+                       kLongestLateRequestTime);
 }
 
 // Returns whether a request may have been delivered so late that its caller has
@@ -486,7 +497,7 @@
   const TimePoint now = daemon->loop->Now();
   if (now <= daemon->suspended_at + kLateRequestTime) return true;
   if (responder.SentAfter() >= now - kLongestCertainAge) return false;
-  return now <= daemon->disrupted_at + kLateRequestTime;
+  return now <= daemon->late_requests_until;
 }
 
 // Cancels the jobs of callers that have closed their connections. After that,
--- a/tests/fuzz/model_daemon.cc
+++ b/tests/fuzz/model_daemon.cc
@@ -17,6 +17,8 @@
 constexpr Duration kLongestCertainAge = milliseconds(500);
 constexpr Duration kLongestPause = milliseconds(500);
 constexpr Duration kLateRequestTime = milliseconds(5000);
+constexpr Duration kLongestLateRequestTime = std::chrono::seconds(60);
+constexpr Duration kDisruptionDetectionTime = milliseconds(1000);
 constexpr Duration kHoldTime = milliseconds(50);
 constexpr Duration kHeartbeatInterval = milliseconds(200);
 constexpr milliseconds kHeartbeatTimeout{400};
@@ -142,7 +144,7 @@
   this->NoteDisruptions();
   const TimePoint now = this->Now();
   if (now - request.sent_after <= internal::kLongestCertainAge) return false;
-  return now - this->disrupted_at <= internal::kLateRequestTime;
+  return now <= this->late_requests_until;
 }
 
 void ModelDaemon::NoteDisruptions() {
@@ -153,7 +155,15 @@
                   [&](const auto& entry) {
                     return !IsReachable(this->election, entry.first, now);
                   });
-  if (paused || any_unreachable) this->disrupted_at = now;
+  if (!paused && !any_unreachable) return;
+  if (now > this->late_requests_until) {
+    this->disruption_began_at =
+        (paused ? this->checked_at : now) - internal::kDisruptionDetectionTime;
+  }
+  this->late_requests_until =
+      now + std::clamp(now - this->disruption_began_at,
+                       internal::kLateRequestTime,
+                       internal::kLongestLateRequestTime);
 }
 
 void ModelDaemon::AcceptJob(const ModelRequest& request, bool held) {
@@ -311,8 +321,9 @@
 }
 
 DaemonTime ModelDaemon::HeartbeatOf(const std::string& leader) const {
-  if (leader == this->election.self.vm)
+  if (leader == this->election.self.vm) {
     return internal::ReportTime(this->Now());
+  }
   const auto peer = this->election.peers.find(leader);
   if (peer == this->election.peers.end()) return DaemonTime{};
   return peer->second.report.sent_at;
--- a/tests/fuzz/model_daemon.h
+++ b/tests/fuzz/model_daemon.h
@@ -196,7 +196,8 @@
   std::uint64_t next_submission = 1;
   TimePoint home_workers_found_at;
   TimePoint checked_at;    // Latest AbortCheckTick.
-  TimePoint disrupted_at;  // As in EntryDaemon.
+  TimePoint disruption_began_at;
+  TimePoint late_requests_until;  // As in EntryDaemon.
   bool retry_scheduled = false;
   bool run_scheduled = false;
 };
