--- a/tests/fuzz/model_daemon.h
+++ b/tests/fuzz/model_daemon.h
@@ -195,7 +195,7 @@
   std::map<std::string, ModelPeerState> peer_states;
   std::uint64_t next_submission = 1;
   TimePoint home_workers_found_at;
-  TimePoint checked_at;    // Latest AbortCheckTick.
+  TimePoint checked_at;  // Latest AbortCheckTick.
   TimePoint disruption_began_at;
   TimePoint late_requests_until;  // As in EntryDaemon.
   bool retry_scheduled = false;
