Build the cancel of another daemon's submission step by step

The platform's build (Release, deploy/system.toml) failed: GCC 12 reports a member of a temporary RemoteCancel as possibly uninitialized, and warnings are errors.

--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -756,6 +756,16 @@
   Duration retry_delay = kFirstCancelRetryDelay;
 };
 
+RemoteCancel MakeRemoteCancel(const EntryDaemonState& daemon,
+                              const std::string& scheduler,
+                              const SubmissionCancel& cancelled) {
+  RemoteCancel cancel;
+  cancel.scheduler = scheduler;
+  cancel.cancelled = cancelled;
+  cancel.last_attempt = daemon.loop->Now() + kCancelRetryTime;
+  return cancel;
+}
+
 void SendCancel(EntryDaemonState* daemon, const RemoteCancel& cancel);
 
 void RetryCancel(EntryDaemonState* daemon, RemoteCancel cancel) {
@@ -810,8 +820,7 @@
 void CancelAtLeader(EntryDaemonState* daemon, const std::string& leader,
                     const SubmissionCancel& cancel) {
   if (leader != daemon->election.self.vm) {
-    SendCancel(daemon,
-               {leader, cancel, daemon->loop->Now() + kCancelRetryTime});
+    SendCancel(daemon, MakeRemoteCancel(*daemon, leader, cancel));
   } else {
     daemon->service->CancelSubmission(cancel.job, OwnOrigin(*daemon),
                                       cancel.submission);
@@ -844,8 +853,9 @@
   const std::string& leader = daemon->election.leader;
   if (leader.empty() || leader == daemon->election.self.vm) return;
   // A scheduler of an earlier version keeps no cancels.
-  SendCancel(daemon,
-             {leader, {job, 0}, daemon->loop->Now() + kCancelRetryTime});
+  SubmissionCancel cancelled;
+  cancelled.job = job;
+  SendCancel(daemon, MakeRemoteCancel(*daemon, leader, cancelled));
 }
 
 std::optional<Duration> CancelAge(const EntryDaemonState& daemon,
