Let a scheduler and its standbys monitor the daemons, not all of them each other

Cause: every daemon sent a heartbeat to every other each 200 ms and ran an election on each that arrived.

Change: the scheduler names one standby in each data centre (three at least). Only it, the standbys and daemons without a scheduler send heartbeats to all (coordination/daemon_monitoring); only they may claim. The others reply, send a heartbeat if an expected one is 250 ms overdue or if answers of the scheduler stay away, and probe a lost monitor until it is back, so that they notice a cut until it ends. An election runs every 50 ms and on reports that can change it. The bounds on confirmations, submissions and leases are as before.

A daemon of the former version reads the reports, ignores the new field, and is monitored; one of this version follows a former scheduler, which names no standby.

Tests: DaemonMonitoringTest (25 and 97 daemons; the number of heartbeats, takeovers, loss of all standbys, a cut data centre), MonitoredDaemonSendsNoHeartbeats, SilentConnectionOfAFollowerResubmitsJobs, RequestPathFuzz with 95 daemons. The fake scheduler of EntryDaemonErrorTest now names its standbys, as a scheduler does.

--- a/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
+++ b/packages/coordination/include/sequoiapath/coordination/scheduler_election.h
@@ -5,6 +5,10 @@
 // home workers, so that the two sides of the partition use different workers.
 // Workers reject orders with an old fencing token. A daemon with an incorrect
 // view of the others therefore causes delay, while safety is preserved.
+//
+// Only the scheduler, its standbys and daemons without a scheduler exchange
+// heartbeats with all daemons (see daemon_monitoring.h), and only they may
+// claim the scheduler role.
 
 #ifndef SEQUOIAPATH_COORDINATION_SCHEDULER_ELECTION_H_
 #define SEQUOIAPATH_COORDINATION_SCHEDULER_ELECTION_H_
@@ -44,6 +48,19 @@
   // Replaces `discovery_wait` if every daemon that the store lists has already
   // reported.
   Duration complete_discovery_wait = std::chrono::milliseconds(150);
+  // Replaces `discovery_wait` for a daemon that begins to monitor all daemons
+  // again. The others run already, so they reply within the timeout of a
+  // heartbeat.
+  Duration rediscovery_wait = std::chrono::milliseconds(500);
+  // A daemon that has lost its scheduler leaves the takeover to the standbys
+  // for this long before it monitors all daemons itself.
+  Duration standby_takeover_time = std::chrono::milliseconds(300);
+  // Minimum interval between two heartbeats to the same daemon. It is checked
+  // every 50 ms, so heartbeats are 200 ms apart.
+  Duration heartbeat_interval = std::chrono::milliseconds(175);
+  // A daemon that is not monitored by this one, but whose reports it expects,
+  // gets a heartbeat if it has been silent for this long.
+  Duration report_overdue = std::chrono::milliseconds(250);
   // Until this long after its start, a daemon does not claim the scheduler role
   // while a live daemon of greater weight is still in its discovery wait. When
   // all daemons start at about the same time, the first to end its discovery
@@ -68,6 +85,7 @@
   // Start of the current period in which the daemon has been reachable without
   // interruption.
   TimePoint live_since;
+  TimePoint last_sent;  // When the latest heartbeat was sent to it.
   bool heard = false;   // Has reported since its last connection failure.
   bool listed = false;  // Is in the store's list.
 };
@@ -92,6 +110,14 @@
   std::string leader;  // VM; empty if none is known.
   // Other reachable daemons that had a claim at the latest RunElection.
   std::set<std::string> other_schedulers;
+  // This daemon exchanges heartbeats with all daemons.
+  bool monitors_all = true;
+  TimePoint monitors_since;  // When it began to, if later than its start.
+  std::optional<TimePoint> leaderless_since;  // Empty while a leader is known.
+  // Daemons from which this one expects reports: those that it monitors or that
+  // monitor it, and those among them that became unreachable and have not
+  // reported since.
+  std::set<std::string> contacts;
 };
 
 // What one call of RunElection changed.
@@ -134,13 +160,27 @@
 bool IsReachable(const SchedulerElection& election, const std::string& vm,
                  TimePoint now);
 
+bool IsReachable(const SchedulerElection& election, const ElectionPeer& peer,
+                 TimePoint now);
+
 // Returns whether the daemon is reachable and not stopping.
 bool IsLive(const SchedulerElection& election, const std::string& vm,
             TimePoint now);
 
+// Returns whether `a` takes precedence over `b` as the next scheduler: it has
+// more CPU time, or the same and the smaller name.
+bool IsPreferred(const DaemonReport& a, const DaemonReport& b);
+
+// Returns whether a report has news that RunElection should examine at once: it
+// differs from the daemon's latest one in what decides the election, or the
+// daemon was not reachable. RunElection at intervals suffices for the others.
+bool ChangesElection(const SchedulerElection& election,
+                     const DaemonReport& report, TimePoint now);
+
 // Decides the role of this daemon and who its leader is. `wall_clock` is the
 // time of day from which the fencing token of a new claim is made. Call it
-// after each report and at least every 50 ms.
+// after each report for which ChangesElection was true and at least every 50
+// ms.
 ElectionChange RunElection(SchedulerElection* election, TimePoint now,
                            std::chrono::milliseconds wall_clock);
 
--- a/packages/coordination/src/scheduler_election.cc
+++ b/packages/coordination/src/scheduler_election.cc
@@ -8,6 +8,8 @@
 #include <tuple>
 #include <utility>
 
+#include "sequoiapath/coordination/daemon_monitoring.h"
+
 namespace sequoiapath {
 namespace internal {
 namespace {
@@ -22,14 +24,9 @@
   return XXH64(text.data(), text.size(), seed);
 }
 
-bool IsReachablePeer(const SchedulerElection& election,
-                     const ElectionPeer& peer, TimePoint now) {
-  return peer.heard && now - peer.last_heard < election.times.silence_timeout;
-}
-
 bool IsLivePeer(const SchedulerElection& election, const ElectionPeer& peer,
                 TimePoint now) {
-  return !peer.report.stopping && IsReachablePeer(election, peer, now);
+  return !peer.report.stopping && IsReachable(election, peer, now);
 }
 
 bool IsKnown(const SchedulerElection& election, const ElectionPeer& peer,
@@ -91,11 +88,6 @@
   return best;
 }
 
-bool IsPreferred(const DaemonReport& a, const DaemonReport& b) {
-  if (a.weight != b.weight) return a.weight > b.weight;
-  return a.vm < b.vm;
-}
-
 // Returns whether the peer takes precedence over this daemon for the next claim
 // of the scheduler role. A peer that is still in its discovery wait takes
 // precedence only if it has greater weight, and only during
@@ -115,22 +107,33 @@
                       });
 }
 
+// Returns when this daemon began to monitor all daemons.
+TimePoint DiscoveryStart(const SchedulerElection& election) {
+  return std::max(election.started, election.monitors_since);
+}
+
 bool HeardAllListed(const SchedulerElection& election) {
+  const TimePoint since = DiscoveryStart(election);
   return election.listing_known &&
          std::all_of(election.peers.begin(), election.peers.end(),
-                     [](const auto& entry) {
-                       return !entry.second.listed || entry.second.heard;
+                     [since](const auto& entry) {
+                       const ElectionPeer& peer = entry.second;
+                       return !peer.listed ||
+                              (peer.heard && peer.last_heard >= since);
                      });
 }
 
-// Returns whether this daemon has ended its discovery wait, so that it may
-// claim the scheduler role. A scheduler that exists reports to it during the
-// wait.
+// Returns whether this daemon monitors all daemons and has ended its discovery
+// wait, so that it may claim the scheduler role. A scheduler that exists
+// reports to it during the wait.
 bool IsEligibleToClaim(const SchedulerElection& election, TimePoint now) {
-  const Duration age = now - election.started;
-  if (election.self.eligible || age >= election.times.discovery_wait) {
-    return true;
-  }
+  if (!election.monitors_all) return false;
+  const TimePoint began = DiscoveryStart(election);
+  const Duration age = now - began;
+  const Duration wait = began == election.started
+                            ? election.times.discovery_wait
+                            : election.times.rediscovery_wait;
+  if (election.self.eligible || age >= wait) return true;
   return age >= election.times.complete_discovery_wait &&
          HeardAllListed(election);
 }
@@ -233,7 +236,7 @@
                                           TimePoint now) {
   std::set<std::string> other_schedulers;
   for (const auto& [vm, peer] : election.peers) {
-    if (peer.report.claim != 0 && IsReachablePeer(election, peer, now)) {
+    if (peer.report.claim != 0 && IsReachable(election, peer, now)) {
       other_schedulers.insert(vm);
     }
   }
@@ -286,7 +289,7 @@
                   TimePoint now) {
   if (report.vm == election->self.vm) return;
   ElectionPeer& peer = election->peers[report.vm];
-  if (!internal::IsReachablePeer(*election, peer, now)) peer.live_since = now;
+  if (!IsReachable(*election, peer, now)) peer.live_since = now;
   peer.report = report;
   peer.last_heard = now;
   peer.heard = true;
@@ -302,6 +305,23 @@
          report.sent_at < latest.sent_at;
 }
 
+bool IsPreferred(const DaemonReport& a, const DaemonReport& b) {
+  if (a.weight != b.weight) return a.weight > b.weight;
+  return a.vm < b.vm;
+}
+
+bool ChangesElection(const SchedulerElection& election,
+                     const DaemonReport& report, TimePoint now) {
+  const auto found = election.peers.find(report.vm);
+  if (found == election.peers.end()) return true;
+  if (!IsReachable(election, found->second, now)) return true;
+  const auto decisive = [](const DaemonReport& r) {
+    return std::tie(r.incarnation, r.weight, r.eligible, r.claim, r.partial,
+                    r.stopping, r.standbys);
+  };
+  return decisive(found->second.report) != decisive(report);
+}
+
 void RecordDaemonFailure(SchedulerElection* election, const std::string& vm,
                          std::uint64_t incarnation) {
   const auto found = election->peers.find(vm);
@@ -325,11 +345,16 @@
          internal::IsLivePeer(election, found->second, now);
 }
 
+bool IsReachable(const SchedulerElection& election, const ElectionPeer& peer,
+                 TimePoint now) {
+  return peer.heard && now - peer.last_heard < election.times.silence_timeout;
+}
+
 bool IsReachable(const SchedulerElection& election, const std::string& vm,
                  TimePoint now) {
   const auto found = election.peers.find(vm);
   return found != election.peers.end() &&
-         internal::IsReachablePeer(election, found->second, now);
+         IsReachable(election, found->second, now);
 }
 
 ElectionChange RunElection(SchedulerElection* election, TimePoint now,
@@ -338,7 +363,10 @@
   const std::string old_leader = election->leader;
   internal::RemoveExpiredPeers(election, now);
   internal::UpdateMajority(election, now);
+  UpdateMonitoring(election, now);
   internal::DecideRole(election, now, wall_clock);
+  UpdateStandbys(election, now);
+  UpdateContacts(election, now);
   ElectionChange change;
   change.role_changed = election->role != old_role;
   change.leader_changed = election->leader != old_leader;
--- a/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
+++ b/packages/protocol/include/sequoiapath/protocol/scheduler_message.h
@@ -42,6 +42,9 @@
   // daemon to which it sends this one; zero if there is none.
   std::uint64_t heard_incarnation = 0;
   DaemonTime heard_sent_at;
+  // VMs of the daemons that stand by to replace the sender, which schedules.
+  // Empty if it does not, or if it is of a version without this field.
+  std::vector<std::string> standbys;
 };
 
 // A worker's record as the store holds it.
--- a/packages/protocol/src/peer_message.cc
+++ b/packages/protocol/src/peer_message.cc
@@ -11,6 +11,8 @@
 namespace internal {
 namespace {
 
+// Names of standbys in a report. A scheduler names one in each data centre.
+constexpr std::size_t kMaxStandbys = 256;
 // Limits the decoder's memory: it allocates 24 bytes for each element that the
 // header of an array declares. The longest valid array is in the handover of a
 // full session table.
@@ -82,7 +84,8 @@
 SEQUOIAPATH_FIELDS(DaemonReport, m.vm, m.data_centre, m.endpoint, m.incarnation,
                    m.weight, m.eligible, m.claim, m.partial, m.stopping,
                    m.highest_fence, m.config_version, m.store_revision,
-                   m.scheduler, m.sent_at, m.heard_incarnation, m.heard_sent_at)
+                   m.scheduler, m.sent_at, m.heard_incarnation, m.heard_sent_at,
+                   m.standbys)
 SEQUOIAPATH_FIELDS(Resources, m.milli_cores, m.memory_mb, m.accelerators)
 SEQUOIAPATH_FIELDS(JobStep, m.count, m.demand, m.estimate, m.after,
                    m.required_label, m.preferred_rack, m.max_per_worker)
@@ -228,6 +231,9 @@
 bool IsValid(const LoanDemand& value) {
   return IsCount(value.worker_tasks) && IsCount(value.quota_units);
 }
+bool IsValid(const DaemonReport& value) {
+  return value.standbys.size() <= kMaxStandbys;
+}
 bool IsValid(const JobStep& value) {
   return value.count > 0 && value.demand.milli_cores >= 0 &&
          value.demand.memory_mb >= 0 && value.demand.accelerators >= 0;
--- a/packages/state/src/entry_daemon.cc
+++ b/packages/state/src/entry_daemon.cc
@@ -11,6 +11,7 @@
 
 #include "entry_metrics.h"
 #include "record_spread.h"
+#include "sequoiapath/coordination/daemon_monitoring.h"
 #include "sequoiapath/coordination/scheduler_election.h"
 #include "sequoiapath/protocol/peer_message.h"
 #include "sequoiapath/state/entry_catalog.h"
@@ -27,7 +28,7 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kElectionInterval = milliseconds(50);
-constexpr Duration kHeartbeatInterval = milliseconds(200);
+constexpr Duration kRecordsInterval = milliseconds(200);
 constexpr milliseconds kHeartbeatTimeout{400};
 // A caller whose connection is lost sends its job to another daemon 1.3 s
 // later. By then, the runs of the first submission must have been stopped.
@@ -115,6 +116,7 @@
   bool suspect = false;
   bool closed = false;  // The connection of the latest heartbeat was closed.
   std::uint64_t incarnation = 0;
+  TimePoint last_reply;  // To any call to the daemon.
 };
 
 struct EntryDaemonState {
@@ -139,6 +141,7 @@
   bool pull_in_flight = false;
   bool stopping = false;
   bool ready_logged = false;
+  bool monitors_all = true;  // As logged.
   TimePoint stop_began_at;
   TimePoint home_workers_found_at;
   // For requests that arrive late.
@@ -152,9 +155,8 @@
 
 namespace {
 
-void SendHeartbeat(EntryDaemonState* daemon, const std::string& vm,
-                   const Endpoint& endpoint);
-void SendHeartbeats(EntryDaemonState* daemon);
+void SendHeartbeat(EntryDaemonState* daemon, const std::string& vm);
+void SendDueHeartbeats(EntryDaemonState* daemon);
 void RunElectionNow(EntryDaemonState* daemon);
 
 milliseconds WallClock() {
@@ -243,7 +245,7 @@
   }
   for (const std::string& key : page.removed) daemon->daemon_entries.erase(key);
   SetListedDaemons(&daemon->election, ListDaemons(*daemon));
-  SendHeartbeats(daemon);
+  SendDueHeartbeats(daemon);
 }
 
 Duration WorkerWatchPause(const EntryDaemonState& daemon) {
@@ -337,10 +339,25 @@
   daemon->service->ReturnJobsOf(MakeOrigin(report.vm, report.incarnation));
 }
 
+// Sends a heartbeat to the scheduler that another daemon's report contradicts
+// or names: to this daemon's scheduler if the other one claims the role too,
+// and to the other's if this daemon has none.
+void CheckScheduler(EntryDaemonState* daemon, const DaemonReport& report) {
+  const std::string& leader = daemon->election.leader;
+  if (leader.empty()) {
+    SendHeartbeat(daemon, report.scheduler);
+  } else if (report.claim != 0 && leader != report.vm) {
+    SendHeartbeat(daemon, leader);
+  }
+}
+
+// Records a report and acts on its news.
 void OnReport(EntryDaemonState* daemon, const DaemonReport& report) {
   if (report.vm == daemon->election.self.vm) return;
   if (IsOutdated(daemon->election, report)) return;
-  RecordReport(&daemon->election, report, daemon->loop->Now());
+  const TimePoint now = daemon->loop->Now();
+  const bool decisive = ChangesElection(daemon->election, report, now);
+  RecordReport(&daemon->election, report, now);
   PeerState& peer_state = daemon->peer_states[report.vm];
   if (peer_state.incarnation != 0 &&
       peer_state.incarnation != report.incarnation) {
@@ -350,15 +367,16 @@
   peer_state.incarnation = report.incarnation;
   ReturnJobsOfLeavingDaemon(daemon, report);
   PullCatalog(daemon, report);
+  if (!decisive) return;
+  CheckScheduler(daemon, report);
+  RunElectionNow(daemon);
 }
 
-// Sends a heartbeat over a new connection, after the connection in use was
-// closed. The network may have reset it; if the process has ended, the new
-// connection is refused within one round trip.
-void RepeatHeartbeat(EntryDaemonState* daemon, const std::string& vm) {
-  const auto peer = daemon->election.peers.find(vm);
-  if (peer == daemon->election.peers.end()) return;
-  SendHeartbeat(daemon, vm, peer->second.report.endpoint);
+// Records that the connection to the daemon on `vm` responds.
+void RecordReply(EntryDaemonState* daemon, const std::string& vm,
+                 const HttpResult& result) {
+  if (!std::holds_alternative<HttpResponse>(result)) return;
+  daemon->peer_states[vm].last_reply = daemon->loop->Now();
 }
 
 // `incarnation` is that of the daemon on `vm` when the heartbeat was sent to it
@@ -368,6 +386,7 @@
                       const HttpResult& result) {
   PeerState& peer_state = daemon->peer_states[vm];
   peer_state.heartbeat_in_flight = false;
+  RecordReply(daemon, vm, result);
   const auto* response = std::get_if<HttpResponse>(&result);
   if (response == nullptr || response->status != kStatusOk) {
     ++daemon->counts.heartbeats_failed;
@@ -379,11 +398,13 @@
         error != nullptr && error->kind == HttpErrorKind::kClosed;
     const bool closed_again = std::exchange(peer_state.closed, closed);
     if (closed && !closed_again) {
-      RepeatHeartbeat(daemon, vm);
+      // The network may have reset the connection. If the process has ended, a
+      // new connection is refused within one round trip.
+      SendHeartbeat(daemon, vm);
     } else if (error != nullptr && error->kind != HttpErrorKind::kTimeout) {
       RecordDaemonFailure(&daemon->election, vm, incarnation);
+      RunElectionNow(daemon);
     }
-    RunElectionNow(daemon);
     return;
   }
   auto report = DecodePeerMessage<DaemonReport>(response->body);
@@ -399,14 +420,18 @@
       vm == daemon->election.leader) {
     daemon->gateway->ResubmitAll();
   }
-  RunElectionNow(daemon);
 }
 
-void SendHeartbeat(EntryDaemonState* daemon, const std::string& vm,
-                   const Endpoint& endpoint) {
+// Sends a heartbeat to the daemon on `vm`, unless one is unanswered or the
+// daemon's endpoint is not known.
+void SendHeartbeat(EntryDaemonState* daemon, const std::string& vm) {
+  const auto peer = daemon->election.peers.find(vm);
+  if (peer == daemon->election.peers.end()) return;
+  const Endpoint& endpoint = peer->second.report.endpoint;
   PeerState& peer_state = daemon->peer_states[vm];
-  if (peer_state.heartbeat_in_flight) return;
+  if (peer_state.heartbeat_in_flight || endpoint.port == 0) return;
   peer_state.heartbeat_in_flight = true;
+  RecordHeartbeatSent(&daemon->election, vm, daemon->loop->Now());
   ++daemon->counts.heartbeats;
   PeerCall call{
       .path = kReportPath, .headers = {}, .body = EncodeOwnReport(*daemon, vm)};
@@ -441,30 +466,42 @@
   }
 }
 
-void SendHeartbeats(EntryDaemonState* daemon) {
+// Returns whether jobs wait for answers on a connection to the scheduler that
+// has been silent. The scheduler's own heartbeats arrive on another connection,
+// so they do not show whether this one still responds.
+bool AwaitsAnswersInSilence(EntryDaemonState* daemon) {
+  const SchedulerElection& election = daemon->election;
+  const auto leader = election.peers.find(election.leader);
+  if (leader == election.peers.end()) return false;
+  if (daemon->gateway->PendingJobCount() == 0) return false;
+  const TimePoint now = daemon->loop->Now();
+  const Duration interval = election.times.heartbeat_interval;
+  return now - leader->second.last_sent >= interval &&
+         now - daemon->peer_states[election.leader].last_reply >= interval;
+}
+
+void SendDueHeartbeats(EntryDaemonState* daemon) {
+  for (const std::string& vm :
+       DueHeartbeats(daemon->election, daemon->loop->Now())) {
+    SendHeartbeat(daemon, vm);
+  }
+  if (AwaitsAnswersInSilence(daemon)) {
+    SendHeartbeat(daemon, daemon->election.leader);
+  }
+}
+
+// Announces that this daemon has begun or ended to schedule.
+void SendHeartbeatsToAll(EntryDaemonState* daemon) {
   for (const auto& [vm, peer] : daemon->election.peers) {
-    if (peer.report.endpoint.port == 0) continue;
-    SendHeartbeat(daemon, vm, peer.report.endpoint);
+    SendHeartbeat(daemon, vm);
   }
 }
 
-void HeartbeatTick(EntryDaemonState* daemon) {
+void RecordsTick(EntryDaemonState* daemon) {
   QuerySeeds(daemon);
-  SendHeartbeats(daemon);
   SendRecords(&daemon->crash_spread);
   SendRecords(&daemon->cancel_spread);
-  daemon->loop->Schedule(kHeartbeatInterval,
-                         [daemon] { HeartbeatTick(daemon); });
-}
-
-// Returns whether a known daemon that is not stopping cannot be reached.
-bool AnyDaemonUnreachable(const EntryDaemonState& daemon, TimePoint now) {
-  const SchedulerElection& election = daemon.election;
-  return std::any_of(election.peers.begin(), election.peers.end(),
-                     [&](const auto& entry) {
-                       return !entry.second.report.stopping &&
-                              !IsReachable(election, entry.first, now);
-                     });
+  daemon->loop->Schedule(kRecordsInterval, [daemon] { RecordsTick(daemon); });
 }
 
 // Notes whether callers may have sent requests that could not be delivered: a
@@ -478,7 +515,7 @@
   }
   daemon->suspended_time = suspended_time;
   const bool paused = now > daemon->callers_checked_at + kLongestPause;
-  if (!paused && !AnyDaemonUnreachable(*daemon, now)) return;
+  if (!paused && !AnyContactUnreachable(daemon->election, now)) return;
   if (now > daemon->late_requests_until) {
     daemon->disruption_began_at =
         (paused ? daemon->callers_checked_at : now) - kDisruptionDetectionTime;
@@ -572,8 +609,11 @@
     const bool reachable = IsReachable(daemon->election, vm, now);
     if (reachable == peer_state.reachable) continue;
     peer_state.reachable = reachable;
-    Log(LogLevel::kInfo, reachable ? "daemon_reachable" : "daemon_unreachable",
-        {{"vm", vm}, {"incarnation", peer_state.incarnation}});
+    if (daemon->election.contacts.contains(vm)) {
+      Log(LogLevel::kInfo,
+          reachable ? "daemon_reachable" : "daemon_unreachable",
+          {{"vm", vm}, {"incarnation", peer_state.incarnation}});
+    }
     if (reachable) {
       any_newly_reachable = true;
     } else {
@@ -592,6 +632,20 @@
        {"known_daemons", daemon.election.peers.size() + 1}});
 }
 
+// Logs when this daemon begins or ends to monitor all daemons.
+void LogMonitoring(EntryDaemonState* daemon) {
+  const SchedulerElection& election = daemon->election;
+  if (std::exchange(daemon->monitors_all, election.monitors_all) ==
+      election.monitors_all) {
+    return;
+  }
+  Log(LogLevel::kInfo, "monitoring_changed",
+      {{"monitors_all", election.monitors_all},
+       {"standby", IsStandby(election)},
+       {"scheduler", election.leader},
+       {"known_daemons", election.peers.size() + 1}});
+}
+
 // Starts or stops scheduling according to the result of the election.
 void ApplyRole(EntryDaemonState* daemon, bool schedules) {
   const bool scheduled = daemon->service->scheduler().fence != 0;
@@ -599,12 +653,12 @@
     ++daemon->counts.elections_won;
     UpdateExtent(daemon);
     daemon->service->Begin(daemon->election.self.claim);
-    SendHeartbeats(daemon);
+    SendHeartbeatsToAll(daemon);
   } else if (!schedules && scheduled) {
     daemon->service->End();
     // The other scheduler claims the workers as soon as it receives this
     // report.
-    SendHeartbeats(daemon);
+    SendHeartbeatsToAll(daemon);
   } else if (schedules) {
     UpdateExtent(daemon);
   }
@@ -631,6 +685,7 @@
   ApplyRole(daemon, daemon->election.self.claim != 0);
   ClaimWorkersOfEndedSchedulers(
       daemon, any_newly_reachable || change.last_other_scheduler_ended);
+  LogMonitoring(daemon);
   if (!change.leader_changed && !change.role_changed) return;
   ++daemon->counts.leader_changes;
   LogLeader(*daemon, former);
@@ -639,6 +694,7 @@
 
 void ElectionTick(EntryDaemonState* daemon) {
   RunElectionNow(daemon);
+  SendDueHeartbeats(daemon);
   daemon->service->ReturnJobsOfUnconfirmedDaemons();
   daemon->loop->Schedule(kElectionInterval, [daemon] { ElectionTick(daemon); });
 }
@@ -734,13 +790,14 @@
             error != nullptr && error->kind == HttpErrorKind::kConnectFailed;
         const bool closed =
             error != nullptr && error->kind == HttpErrorKind::kClosed;
+        RecordReply(daemon, leader, result);
         if (refused) {
           RecordDaemonFailure(&daemon->election, leader, incarnation);
         }
         callback(ReadSubmissionResult(result));
         if (refused || closed) {
           // The heartbeat tells whether the scheduler's process has ended.
-          SendHeartbeats(daemon);
+          SendHeartbeat(daemon, leader);
           RunElectionNow(daemon);
         }
       });
@@ -990,6 +1047,8 @@
   auto report = DecodePeerMessage<DaemonReport>(request.body);
   const auto* decoded = std::get_if<DaemonReport>(&report);
   if (decoded == nullptr) {
+    Log(LogLevel::kError, "report_unreadable",
+        {{"bytes", request.body.size()}});
     RespondStatus(responder, kStatusBadRequest);
     return;
   }
@@ -1000,7 +1059,6 @@
         MakeOrigin(decoded->vm, decoded->incarnation),
         TimePoint(decoded->heard_sent_at));
   }
-  RunElectionNow(daemon);
   responder.Respond(MakeOkResponse(EncodeOwnReport(*daemon, decoded->vm)));
 }
 
@@ -1268,10 +1326,12 @@
   Log(LogLevel::kInfo, "stopping",
       {{"pending", daemon->gateway->PendingJobCount()},
        {"schedules", daemon->election.self.claim != 0}});
+  const std::vector<std::string> monitors = FindMonitors(daemon->election);
   daemon->election.self.stopping = true;
   StepDown(&daemon->election, daemon->loop->Now());
+  // Tells the daemons that monitor this one; a scheduler tells all.
   internal::RunElectionNow(daemon);
-  internal::SendHeartbeats(daemon);
+  for (const std::string& vm : monitors) internal::SendHeartbeat(daemon, vm);
   daemon->gateway->BeginStop(daemon->stop_began_at +
                              daemon->settings.stop_grace -
                              internal::kStopMargin);
@@ -1334,7 +1394,7 @@
        {"incarnation", daemon->election.self.incarnation},
        {"core_share", daemon->settings.core_share}});
   internal::WatchStore(daemon);
-  internal::HeartbeatTick(daemon);
+  internal::RecordsTick(daemon);
   internal::AbortCheckTick(daemon);
   internal::ElectionTick(daemon);
   internal::ReportSuppressed(daemon);
