--- a/packages/coordination/src/daemon_monitoring.cc
+++ b/packages/coordination/src/daemon_monitoring.cc
@@ -172,14 +172,12 @@
 
 bool AnyContactUnreachable(const SchedulerElection& election, TimePoint now) {
   const bool all = internal::HasMonitoredAll(election, now);
-  return std::any_of(election.peers.begin(), election.peers.end(),
-                     [&](const auto& entry) {
-                       const auto& [vm, peer] = entry;
-                       if (peer.report.stopping) return false;
-                       if (!all && !election.contacts.contains(vm))
-                         return false;
-                       return !IsReachable(election, vm, now);
-                     });
+  const auto is_lost = [&](const auto& entry) {
+    const auto& [vm, peer] = entry;
+    if (peer.report.stopping || IsReachable(election, peer, now)) return false;
+    return all || election.contacts.contains(vm);
+  };
+  return std::any_of(election.peers.begin(), election.peers.end(), is_lost);
 }
 
 }  // namespace sequoiapath
--- a/tests/correctness/daemon_monitoring_test.cc
+++ b/tests/correctness/daemon_monitoring_test.cc
@@ -31,6 +31,7 @@
  public:
   HeartbeatGroup(int count, int data_centres) : data_centres(data_centres) {
     std::vector<ListedDaemon> listed;
+    listed.reserve(count);
     for (int i = 0; i < count; ++i) {
       listed.push_back({Name(i),
                         DataCentre(i),
--- a/tests/error/entry_daemon_test.cc
+++ b/tests/error/entry_daemon_test.cc
@@ -563,6 +563,28 @@
   EXPECT_EQ(this->submissions.size(), 2U);
 }
 
+// Guards against a malformed heartbeat that ends the process or that changes
+// what the daemon knows of its scheduler.
+TEST_F(EntryDaemonErrorTest, MalformedHeartbeatChangesNothing) {
+  this->MakePeerTheScheduler();
+  std::string body = EncodePeerMessage(this->peer_report);
+  body.resize(body.size() - 1);
+  int status = 0;
+  this->client->Call(this->daemon_endpoint,
+                     {.path = "/scheduler/report", .headers = {}, .body = body},
+                     seconds(1), [&status](const HttpResult& result) {
+                       const auto* response =
+                           std::get_if<HttpResponse>(&result);
+                       ASSERT_NE(response, nullptr);
+                       status = response->status;
+                     });
+  ASSERT_TRUE(RunUntil(
+      &this->loop, [&status] { return status != 0; }, seconds(1)));
+  EXPECT_EQ(status, 400);
+  this->SendReportsFor(milliseconds(100));
+  EXPECT_EQ(this->daemon_report.scheduler, kPeerVm);
+}
+
 // Guards against heartbeats of daemons that the scheduler monitors, whose
 // number would grow with the daemons at each of them.
 TEST_F(EntryDaemonErrorTest, MonitoredDaemonSendsNoHeartbeats) {
--- a/tests/fuzz/peer_message_test.cc
+++ b/tests/fuzz/peer_message_test.cc
@@ -117,7 +117,8 @@
 }
 
 // Guards against daemons that ignore each other during an update: the previous
-// versions send their reports without the scheduler and the times.
+// versions send their reports without the standbys, and before without the
+// scheduler and the times.
 TEST(PeerMessageFuzz, ReportWithoutTheAppendedFieldDecodes) {
   DaemonReport report;
   report.vm = "vm-1";
@@ -125,12 +126,17 @@
   report.incarnation = 7;
   report.store_revision = 300;
   std::string bytes = EncodePeerMessage(report);
-  // The header of an array of 16 elements; the last four are an empty string
-  // and three zeros.
-  const std::string header("\xdc\x00\x10", 3);
-  const std::string appended("\xa0\x00\x00\x00", 4);
+  // The header of an array of 17 elements; the last five are an empty string,
+  // three zeros and an empty array.
+  const std::string header("\xdc\x00\x11", 3);
+  const std::string appended("\xa0\x00\x00\x00\x90", 5);
   ASSERT_TRUE(bytes.starts_with(header));
   ASSERT_TRUE(bytes.ends_with(appended));
+  std::string previous = bytes.substr(0, bytes.size() - 1);
+  previous[2] = '\x10';
+  const auto without_standbys = DecodePeerMessage<DaemonReport>(previous);
+  ASSERT_EQ(GetFailure(without_standbys), nullptr);
+  EXPECT_TRUE(std::get<DaemonReport>(without_standbys).standbys.empty());
   bytes.replace(0, header.size(), "\x9c");  // An array of 12 elements.
   bytes.resize(bytes.size() - appended.size());
   const auto decoded = DecodePeerMessage<DaemonReport>(bytes);
@@ -142,6 +148,23 @@
   EXPECT_NE(GetFailure(DecodePeerMessage<DaemonReport>(bytes)), nullptr);
 }
 
+// Guards against a report that makes each election of its receivers slow.
+TEST(PeerMessageFuzz, ReportWithTooManyStandbysIsRejected) {
+  constexpr std::size_t kMaxStandbys = 256;
+  DaemonReport report;
+  report.vm = "vm-1";
+  report.endpoint = {"127.0.0.1", 7000};
+  report.standbys.assign(kMaxStandbys, "vm-2");
+  const auto longest =
+      DecodePeerMessage<DaemonReport>(EncodePeerMessage(report));
+  ASSERT_EQ(GetFailure(longest), nullptr);
+  EXPECT_EQ(std::get<DaemonReport>(longest).standbys, report.standbys);
+  report.standbys.push_back("vm-2");
+  EXPECT_NE(
+      GetFailure(DecodePeerMessage<DaemonReport>(EncodePeerMessage(report))),
+      nullptr);
+}
+
 // Guards against cancels that are rejected during an update: the previous
 // versions name only the job.
 TEST(PeerMessageFuzz, CancelWithoutTheAppendedFieldDecodes) {
@@ -164,7 +187,11 @@
 }
 
 std::vector<std::string> Corpus() {
-  return {EncodePeerMessage(SampleHeartbeat()),
+  DaemonReport report;
+  report.vm = "vm-1";
+  report.endpoint = {"127.0.0.1", 7000};
+  report.standbys = {"vm-2", "vm-3"};
+  return {EncodePeerMessage(report), EncodePeerMessage(SampleHeartbeat()),
           EncodePeerMessage(SampleDelegate()),
           EncodePeerMessage(SampleHandover()),
           EncodePeerMessage(
