--- a/packages/state/src/entry_election.cc
+++ b/packages/state/src/entry_election.cc
@@ -39,7 +39,7 @@
 }
 
 // Finds the home workers at most once in each `kElectionInterval`, because this
-// examines all workers and members and an election runs with each heartbeat.
+// examines all workers and members and an election also runs on reports.
 void UpdateExtent(EntryDaemonState* daemon) {
   const bool partial = daemon->election.role == SchedulerRole::kPartial;
   const TaskScheduler& scheduler = daemon->service->scheduler();
