Review: cancels that only the lost daemon had are acknowledged

Case 6: the scheduling daemon is killed right after it has acknowledged 120 of 200 cancels. The daemon that has the jobs hands them to the next scheduler, which starts their second steps over 3 s after the acknowledgement.

--- a/review/rig-2.cc
+++ b/review/rig-2.cc
@@ -1182,12 +1182,43 @@
   return nullptr;
 }
 
-// Cancels all jobs at once, each on a connection of its own, at one daemon.
-// Kills the daemon as soon as `acks` of the cancels are acknowledged.
+// Sends a short job on a connection of its own; returns the connection.
+int SendShortJob(std::mt19937_64* random, const Daemon& daemon) {
+  const std::string id = NewJobId(random);
+  JobInfo info;
+  info.cpu = 1000;
+  info.run_ms = 100;
+  info.spec = "work " + id;
+  info.counts = {1};
+  const std::string body =
+      Json{{"spec", info.spec},
+           {"bestEffort", true},
+           {"steps", {{{"count", 1}, {"cpu", info.cpu}, {"memMb", 64}, {"estMs", 100}}}}}
+          .dump();
+  {
+    std::lock_guard<std::mutex> lock(mutex);
+    jobs[id] = info;
+    ++counts["new short jobs sent"];
+  }
+  const int fd = Connect(daemon.front);
+  SendAll(fd, "POST /book/" + id + " HTTP/1.1\r\n" + kHeaders +
+                  "x-deadline-ms: 1500\r\ncontent-length: " + std::to_string(body.size()) +
+                  "\r\n\r\n" + body);
+  return fd;
+}
+
+// Cancels all jobs at once, each on a connection of its own, at one daemon, and
+// hands as many new jobs in at the other daemons. Kills the daemon as soon as
+// `acks` of the cancels are acknowledged.
 void CancelAndKill(const std::vector<std::string>& ids, Daemon* daemon, std::size_t acks,
-                   bool trouble) {
+                   bool trouble, std::mt19937_64* random) {
   std::vector<int> sockets;
   for (std::size_t i = 0; i < ids.size(); ++i) sockets.push_back(Connect(daemon->front));
+  std::vector<int> new_jobs;
+  for (std::size_t i = 0; i < ids.size(); ++i) {
+    const Daemon& other = daemons[i % daemons.size()];
+    if (&other != daemon) new_jobs.push_back(SendShortJob(random, other));
+  }
   for (std::size_t i = 0; i < ids.size(); ++i) {
     SendAll(sockets[i], "DELETE /book/" + ids[i] + " HTTP/1.1\r\n" + kHeaders +
                             "content-length: 0\r\n\r\n");
@@ -1209,6 +1240,10 @@
   std::lock_guard<std::mutex> lock(mutex);
   Record(std::to_string(acknowledged) + " of " + std::to_string(ids.size()) +
          " cancels acknowledged by " + daemon->name + (trouble ? ", which is killed" : ""));
+  std::thread([new_jobs] {
+    std::this_thread::sleep_for(milliseconds(2500));
+    for (const int fd : new_jobs) close(fd);
+  }).detach();
   for (std::size_t i = 0; i < ids.size(); ++i) {
     close(sockets[i]);
     if (status[i] != 200 && status[i] != 410) continue;
@@ -1217,13 +1252,13 @@
   }
 }
 
-// In each round, clients hand 60 jobs in at a daemon that does not schedule: a
+// In each round, clients hand 200 jobs in at a daemon that does not schedule: a
 // task of 4.5 s, then two short ones. After 1 s they cancel them at the daemon
-// that schedules, which is killed once 50 of the cancels are acknowledged.
+// that schedules, which is killed once 120 of the cancels are acknowledged.
 int ScenarioAck(bool trouble) {
-  constexpr int kRounds = 6;
-  constexpr std::size_t kJobs = 60;
-  constexpr std::size_t kAcks = 50;
+  constexpr int kRounds = 4;
+  constexpr std::size_t kJobs = 200;
+  constexpr std::size_t kAcks = 120;
   if (!StartAll(48, 8, [](int) { return std::string("a"); })) return 2;
   std::this_thread::sleep_for(milliseconds(4000));
   std::mt19937_64 random(1);
@@ -1236,7 +1271,7 @@
       const std::string id = NewJobId(&random);
       ids.push_back(id);
       JobInfo info;
-      info.cpu = 4000;
+      info.cpu = 1000;
       info.step_ms = {4500, 100};
       info.spec = "work " + id;
       info.counts = {1, 2};
@@ -1260,7 +1295,7 @@
       }).detach();
     }
     std::this_thread::sleep_for(milliseconds(1000));
-    CancelAndKill(ids, scheduler, kAcks, trouble);
+    CancelAndKill(ids, scheduler, kAcks, trouble, &random);
     if (trouble) {
       waitpid(scheduler->pid, nullptr, 0);
       std::this_thread::sleep_for(milliseconds(3000));
