Review: keep cases 6 and 8 inside the limits of their disruptions

Case 6 cancelled all jobs of a round (give_up has a share of 0.4 at most), case 8 crashed 8 of 48 workers (srv_crash: 0.14). Now 133 of 380 jobs and 8 of 64 workers.

--- a/review/rig-2.cc
+++ b/review/rig-2.cc
@@ -1062,26 +1062,27 @@
   SubmitAsync(id, body.dump(), 1500, 1);
 }
 
-// 6 racks of 8 workers, as on the small sites. There is room for 96 tasks; 84
-// are at work on average, half of them for each kind. Every 6 s the workers of
-// one rack crash, and start again 2.5 to 3.5 s later.
+// 8 racks of 8 workers, so that one rack is a share of 0.125. There is room for
+// 128 tasks; about 115 are at work on average, half of them for each kind. Every
+// 6 s the workers of one rack crash, and start again 2.5 to 3.5 s later.
 int ScenarioKind(bool trouble) {
-  constexpr int kWorkers = 48, kRack = 8, kSeconds = 60;
+  constexpr int kWorkers = 64, kRack = 8, kSeconds = 60;
   const auto kind = [](int i) { return std::string(i % 2 == 0 ? "a" : "b"); };
   if (!StartAll(kWorkers, kRack, kind)) return 2;
   std::mt19937_64 random(1);
   const std::int64_t end = NowMs() + kSeconds * 1000;
   std::int64_t next_crash = NowMs() + 3000;
   std::size_t rack = 0;
+  int i = 0;
   std::vector<std::thread> restarts;
-  for (std::int64_t next = NowMs(); NowMs() < end; next += 14) {
+  for (std::int64_t next = NowMs(); NowMs() < end; next += i++ % 2 == 0 ? 10 : 11) {
     const std::int64_t wait = next - NowMs();
     if (wait > 0) std::this_thread::sleep_for(milliseconds(wait));
     SubmitLabelled(&random, random() % 2 == 0 ? "a" : "b");
     if (!trouble || NowMs() < next_crash || NowMs() > end - 5000) continue;
     next_crash += 6000;
-    for (std::size_t i = rack * kRack; i < (rack + 1) * kRack; ++i) {
-      Worker* worker = workers[i].get();
+    for (std::size_t w = rack * kRack; w < (rack + 1) * kRack; ++w) {
+      Worker* worker = workers[w].get();
       Crash(worker);
       const int pause = 2500 + static_cast<int>(random() % 1000);
       restarts.emplace_back([worker, pause] {
@@ -1252,13 +1253,14 @@
   }
 }
 
-// In each round, clients hand 200 jobs in at a daemon that does not schedule: a
-// task of 4.5 s, then two short ones. After 1 s they cancel them at the daemon
-// that schedules, which is killed once 120 of the cancels are acknowledged.
+// In each round, clients hand 380 jobs in at a daemon that does not schedule: a
+// task of 4.5 s, then two short ones. After 1 s they cancel 133 of them at the
+// daemon that schedules, which is killed once 80 of the cancels are acknowledged.
 int ScenarioAck(bool trouble) {
   constexpr int kRounds = 4;
-  constexpr std::size_t kJobs = 200;
-  constexpr std::size_t kAcks = 120;
+  constexpr std::size_t kJobs = 380;
+  constexpr std::size_t kCancelled = 133;  // A share of 0.35.
+  constexpr std::size_t kAcks = 80;
   if (!StartAll(48, 8, [](int) { return std::string("a"); })) return 2;
   std::this_thread::sleep_for(milliseconds(4000));
   std::mt19937_64 random(1);
@@ -1295,6 +1297,7 @@
       }).detach();
     }
     std::this_thread::sleep_for(milliseconds(1000));
+    ids.resize(kCancelled);
     CancelAndKill(ids, scheduler, kAcks, trouble, &random);
     if (trouble) {
       waitpid(scheduler->pid, nullptr, 0);
